--- /dev/null
+++ b/src/bin/bwgate.cc
@@ -0,0 +1,86 @@
+// bwgate: takes callers' requests and jobs on one entry instance.
+
+#include "../gate_base.h"
+#include "../net/http_server.h"
+#include "../process_func.h"
+#include "../status_base.h"
+#include "../table/gate_settings.h"
+
+namespace bw {
+namespace {
+
+/// The service "callers": the HTTP server in front of the gate.
+class CallerDoor : public Service {
+ public:
+  CallerDoor(net::HttpServerOptions options, Gate* gate)
+      : options_(std::move(options)), gate_(gate) {}
+
+  void Start(Kernel&) override {
+    server_ = std::make_unique<net::HttpServer>(
+        options_,
+        [this](const net::HttpRequest& request, net::Responder responder) {
+          gate_->Serve(request, std::move(responder));
+        });
+  }
+  void Stop() override { server_.reset(); }
+
+ private:
+  const net::HttpServerOptions options_;
+  Gate* const gate_;
+  std::unique_ptr<net::HttpServer> server_;
+};
+
+GateOptions OptionsFrom(const Settings& settings) {
+  GateOptions out;
+  out.instance = InstanceId(settings.Text("instance.name"));
+  out.zone = ZoneId(settings.Text("instance.zone"));
+  out.key_bound = milliseconds(settings.Int("timing.key_bound_ms"));
+  out.serve_in_outage = settings.Int("timing.serve_in_outage") == 1;
+  out.log_wait = milliseconds(settings.Int("platform.log_wait_ms"));
+  out.max_run = milliseconds(settings.Int("gate.max_run_ms"));
+  out.drain_grace = milliseconds(settings.Int("gate.drain_grace_ms"));
+  out.max_open = static_cast<size_t>(settings.Int("gate.max_open"));
+  out.links = ReadLinks(settings.List("mesh.links"));
+  out.seeds = settings.List("mesh.seeds");
+  return out;
+}
+
+int Main(int argc, const char** argv) {
+  int exit_code = 0;
+  auto line = ReadCommandLine(argc, argv, "[OPTION...]", table::kGateSettings,
+                              {}, &exit_code);
+  if (!line) {
+    return exit_code;
+  }
+  BlockSignals();
+  const Settings& settings = line->settings;
+  auto log = platform::MakeHttpLog(settings.Text("platform.log"));
+  Metrics metrics;
+  Timeline events(settings.Text("instance.name"),
+                  settings.Text("instance.zone"), "bwgate",
+                  settings.Text("timeline.file"));
+  Kernel kernel;
+  auto gate = std::make_unique<Gate>(OptionsFrom(settings),
+                                     GateParts{log.get(), &events, &metrics});
+  Gate* it = gate.get();
+  kernel.Add("gate", std::move(gate));
+  net::HttpServerOptions door;
+  door.listen = settings.Text("gate.listen");
+  door.max_body_bytes =
+      static_cast<size_t>(settings.Int("gate.max_body_bytes"));
+  kernel.Add("callers", std::make_unique<CallerDoor>(door, it));
+  kernel.Add("status",
+             std::make_unique<StatusPages>(
+                 settings.Text("status.listen"),
+                 StatusParts{&metrics, &events, [it] { return it->IsReady(); },
+                             [it] { return it->StatusText(); }}));
+  return RunKernel(&kernel,
+                   milliseconds(settings.Int("timing.drain_limit_ms")));
+}
+
+}  // namespace
+}  // namespace bw
+
+int main(int argc, const char** argv) {
+  return bw::Main(argc, argv);
+}
--- /dev/null
+++ b/src/fake/bwfakelist.cc
@@ -0,0 +1,101 @@
+// bwfakelist: stand-in for the platform's lagging list of instances.
+//
+//   GET  /instances?zone=Z    the list as it was `lag_ms` ago
+//   POST /control             {"instances":[...],"lag_ms":n,"down":b}
+//   GET  /truth               every list ever set, and when
+
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "../net/http_server.h"
+#include "../process_func.h"
+#include "alarm.h"
+#include "fake_settings.h"
+
+namespace bw::fake {
+namespace {
+
+using Json = nlohmann::json;
+
+class FakeList {
+ public:
+  void Serve(const net::HttpRequest& request, const net::Responder& respond) {
+    std::lock_guard lock(mutex_);
+    if (request.path == "/control") {
+      const Json in = Json::parse(request.body, nullptr, false);
+      if (in.is_object()) {
+        lag_ms_ = in.value("lag_ms", lag_ms_);
+        down_ = in.value("down", down_);
+        if (in.contains("instances")) {
+          history_.push_back({NowMs(), in["instances"]});
+        }
+      }
+      return respond({200, "application/json", "{}", {}});
+    }
+    if (request.path == "/truth") {
+      Json out = Json::array();
+      for (const auto& it : history_) {
+        out.push_back({{"set_ms", it.set_ms}, {"instances", it.instances}});
+      }
+      return respond({200, "application/json", out.dump(), {}});
+    }
+    if (down_) {
+      return respond({503, "application/json", "{}", {}});
+    }
+    respond({200, "application/json", Visible(request.Query("zone")), {}});
+  }
+
+ private:
+  struct Version {
+    uint64_t set_ms = 0;
+    Json instances;
+  };
+
+  /// The first list shows at once, later ones after the lag.
+  std::string Visible(const std::string& zone) const {
+    Json out = Json::array();
+    const Version* shown = history_.empty() ? nullptr : &history_.front();
+    for (const auto& it : history_) {
+      if (it.set_ms + lag_ms_ <= NowMs()) {
+        shown = &it;
+      }
+    }
+    if (shown != nullptr) {
+      for (const auto& it : shown->instances) {
+        if (zone.empty() || it.value("zone", "") == zone) {
+          out.push_back(it);
+        }
+      }
+    }
+    return out.dump();
+  }
+
+  std::mutex mutex_;
+  std::vector<Version> history_;
+  uint64_t lag_ms_ = 500;
+  bool down_ = false;
+};
+
+int Main(int argc, const char** argv) {
+  int exit_code = 0;
+  auto line = ReadCommandLine(argc, argv, "[OPTION...]", kServerSettings, {},
+                              &exit_code);
+  if (!line) {
+    return exit_code;
+  }
+  BlockSignals();
+  FakeList list;
+  net::HttpServer server(
+      {.listen = line->settings.Text("fake.listen")},
+      [&](const auto& request, auto respond) { list.Serve(request, respond); });
+  WaitForStop();
+  return 0;
+}
+
+}  // namespace
+}  // namespace bw::fake
+
+int main(int argc, const char** argv) {
+  return bw::fake::Main(argc, argv);
+}
--- /dev/null
+++ b/src/fake/bwfakeproxy.cc
@@ -0,0 +1,302 @@
+// bwfakeproxy: fault-injecting TCP proxy. Each link forwards one address to
+// another; faults are set by the links' names.
+//
+//   POST /links    [{"name":"a>b","listen":"ip:port","target":"ip:port"},...]
+//   POST /control  {"match":["a>*", ...],"there":MODE,"back":MODE,
+//                   "delay_ms":n}
+//
+// MODE: "pass"; "hold" keeps bytes until the next "pass"; "drop" loses them,
+// and the connection breaks at the next "pass"; "refuse" also closes new and
+// present connections. "there" is from the connecting side to the target.
+
+#include <array>
+#include <asio.hpp>
+#include <deque>
+#include <list>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+#include "../net/http_server.h"
+#include "../process_func.h"
+#include "../text_func.h"
+#include "fake_settings.h"
+
+namespace bw::fake {
+namespace {
+
+using Json = nlohmann::json;
+using Tcp = asio::ip::tcp;
+using Bytes = std::vector<char>;
+
+enum class Mode : uint8_t { kPass, kHold, kDrop, kRefuse };
+
+Mode ModeFrom(const std::string& name) {
+  return name == "hold"     ? Mode::kHold
+         : name == "drop"   ? Mode::kDrop
+         : name == "refuse" ? Mode::kRefuse
+                            : Mode::kPass;
+}
+
+struct Rules {
+  std::array<Mode, 2> modes{Mode::kPass, Mode::kPass};  ///< There, back.
+  milliseconds delay{0};
+};
+
+/// One connection through a link.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(Tcp::socket from, asio::io_context& io, const Rules* rules)
+      : sockets_{std::move(from), Tcp::socket(io)}, rules_(rules), io_(io) {}
+
+  void Start(const Tcp::endpoint& target) {
+    auto self = shared_from_this();
+    sockets_[1].async_connect(target, [self](std::error_code ec) {
+      if (ec) {
+        return self->Close();
+      }
+      for (auto& it : self->sockets_) {
+        it.set_option(Tcp::no_delay(true), ec);
+      }
+      self->Read(0);
+      self->Read(1);
+    });
+  }
+
+  void Close() {
+    std::error_code ec;
+    sockets_[0].close(ec);
+    sockets_[1].close(ec);
+    closed_ = true;
+  }
+
+  /// The link's rules have changed.
+  void OnRules() {
+    for (size_t n = 0; n < 2; ++n) {
+      if (rules_->modes[n] == Mode::kRefuse ||
+          (rules_->modes[n] == Mode::kPass && lost_[n])) {
+        return Close();
+      }
+      if (rules_->modes[n] == Mode::kPass) {
+        Write(n);
+      }
+    }
+  }
+
+  bool closed() const { return closed_; }
+
+ private:
+  void Read(size_t n) {
+    auto self = shared_from_this();
+    sockets_[n].async_read_some(asio::buffer(buffers_[n]),
+                                [self, n](std::error_code ec, size_t size) {
+                                  if (ec) {
+                                    return self->OnEnd(n);
+                                  }
+                                  self->OnData(n, size);
+                                  self->Read(n);
+                                });
+  }
+
+  void OnData(size_t n, size_t size) {
+    if (rules_->modes[n] == Mode::kDrop) {
+      lost_[n] = true;
+      return;
+    }
+    Bytes data(buffers_[n].begin(), buffers_[n].begin() + size);
+    if (rules_->delay.count() == 0) {
+      queues_[n].push_back(std::move(data));
+      return Write(n);
+    }
+    auto timer = std::make_shared<asio::steady_timer>(io_, rules_->delay);
+    auto self = shared_from_this();
+    timer->async_wait(
+        [self, n, timer, data = std::move(data)](std::error_code) mutable {
+          self->queues_[n].push_back(std::move(data));
+          self->Write(n);
+        });
+  }
+
+  /// The end of a held direction is held as well.
+  void OnEnd(size_t n) {
+    ended_[n] = true;
+    if (rules_->modes[n] == Mode::kPass && queues_[n].empty() && !writing_[n]) {
+      Close();
+    } else if (rules_->modes[n] == Mode::kPass) {
+      Write(n);
+    }
+  }
+
+  void Write(size_t n) {
+    if (writing_[n] || closed_ || rules_->modes[n] != Mode::kPass) {
+      return;
+    }
+    if (queues_[n].empty()) {
+      if (ended_[n]) {
+        Close();
+      }
+      return;
+    }
+    writing_[n] = true;
+    auto self = shared_from_this();
+    asio::async_write(sockets_[1 - n], asio::buffer(queues_[n].front()),
+                      [self, n](std::error_code ec, size_t) {
+                        self->writing_[n] = false;
+                        if (ec) {
+                          return self->Close();
+                        }
+                        self->queues_[n].pop_front();
+                        self->Write(n);
+                      });
+  }
+
+  std::array<Tcp::socket, 2> sockets_;
+  const Rules* const rules_;
+  asio::io_context& io_;
+  std::array<std::array<char, 16'384>, 2> buffers_{};
+  std::array<std::deque<Bytes>, 2> queues_;
+  std::array<bool, 2> writing_{};
+  std::array<bool, 2> lost_{};
+  std::array<bool, 2> ended_{};
+  bool closed_ = false;
+};
+
+Tcp::endpoint EndpointOf(const std::string& address) {
+  const HostPort it = SplitAddress(address);
+  return {asio::ip::make_address(it.host), it.port};
+}
+
+class Link {
+ public:
+  Link(asio::io_context& io,
+       const std::string& listen,
+       const std::string& target)
+      : io_(io), target_(EndpointOf(target)), acceptor_(io) {
+    const Tcp::endpoint endpoint = EndpointOf(listen);
+    acceptor_.open(endpoint.protocol());
+    acceptor_.set_option(Tcp::acceptor::reuse_address(true));
+    acceptor_.bind(endpoint);
+    acceptor_.listen();
+    Accept();
+  }
+
+  void Set(const Rules& rules) {
+    rules_ = rules;
+    for (const auto& it : sessions_) {
+      it->OnRules();
+    }
+  }
+  const Rules& rules() const { return rules_; }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](std::error_code ec, Tcp::socket socket) {
+      if (!ec && rules_.modes[0] != Mode::kRefuse) {
+        std::erase_if(sessions_, [](const auto& it) { return it->closed(); });
+        auto it = std::make_shared<Session>(std::move(socket), io_, &rules_);
+        sessions_.push_back(it);
+        it->Start(target_);
+      }
+      Accept();
+    });
+  }
+
+  asio::io_context& io_;
+  const Tcp::endpoint target_;
+  Tcp::acceptor acceptor_;
+  Rules rules_;
+  std::list<std::shared_ptr<Session>> sessions_;
+};
+
+/// "a>*" matches every name that starts with "a>"; "*>b" all that end in it.
+bool Matches(const std::string& pattern, const std::string& name) {
+  if (pattern.ends_with('*')) {
+    return name.starts_with(pattern.substr(0, pattern.size() - 1));
+  }
+  if (pattern.starts_with('*')) {
+    return name.ends_with(pattern.substr(1));
+  }
+  return pattern == name;
+}
+
+class Proxy {
+ public:
+  Proxy() : work_(asio::make_work_guard(io_)), thread_([this] { io_.run(); }) {}
+  ~Proxy() {
+    io_.stop();
+    thread_.join();
+  }
+
+  void Serve(const net::HttpRequest& request, const net::Responder& respond) {
+    asio::post(io_, [this, request, respond] {
+      const Json in = Json::parse(request.body, nullptr, false);
+      try {
+        if (request.path == "/links") {
+          Add(in);
+        } else {
+          Control(in);
+        }
+        respond({200, "application/json", "{}", {}});
+      } catch (const std::exception& e) {
+        respond({400, "text/plain", e.what(), {}});
+      }
+    });
+  }
+
+ private:
+  void Add(const Json& in) {
+    for (const auto& it : in) {
+      links_[it.at("name")] =
+          std::make_unique<Link>(io_, it.at("listen"), it.at("target"));
+    }
+  }
+
+  void Control(const Json& in) {
+    for (const auto& pattern : in.at("match")) {
+      for (auto& [name, link] : links_) {
+        if (!Matches(pattern, name)) {
+          continue;
+        }
+        Rules rules = link->rules();
+        if (in.contains("there")) {
+          rules.modes[0] = ModeFrom(in["there"]);
+        }
+        if (in.contains("back")) {
+          rules.modes[1] = ModeFrom(in["back"]);
+        }
+        rules.delay = milliseconds(
+            in.value("delay_ms", static_cast<int64_t>(rules.delay.count())));
+        link->Set(rules);
+      }
+    }
+  }
+
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::map<std::string, std::unique_ptr<Link>> links_;
+  std::thread thread_;
+};
+
+int Main(int argc, const char** argv) {
+  int exit_code = 0;
+  auto line = ReadCommandLine(argc, argv, "[OPTION...]", kServerSettings, {},
+                              &exit_code);
+  if (!line) {
+    return exit_code;
+  }
+  BlockSignals();
+  Proxy proxy;
+  net::HttpServer server({.listen = line->settings.Text("fake.listen")},
+                         [&](const auto& request, auto respond) {
+                           proxy.Serve(request, respond);
+                         });
+  WaitForStop();
+  return 0;
+}
+
+}  // namespace
+}  // namespace bw::fake
+
+int main(int argc, const char** argv) {
+  return bw::fake::Main(argc, argv);
+}
--- /dev/null
+++ b/src/keytrust.cc
@@ -0,0 +1,39 @@
+#include <algorithm>
+
+#include "keytrust_base.h"
+
+namespace bw {
+
+void KeyTrust::OnHeard(const ZoneId& zone,
+                       Offset version,
+                       Offset my_version,
+                       uint32_t log_age_ms,
+                       Time asked) {
+  const Duration age = milliseconds(log_age_ms);
+  const bool readable = log_age_ms != kAgeUnknown && age < bound_;
+  Heard& it = heard_[zone];
+  if (asked >= it.at) {
+    it.at = asked;
+    it.log_readable = readable;
+  }
+  if (readable && version <= my_version) {
+    current_at_ = std::max(current_at_, asked - age);
+  }
+}
+
+KeyTrustState KeyTrust::State(const std::vector<ZoneId>& zones,
+                              Time now) const {
+  if (current_at_ != kNever && now < current_at_ + bound_) {
+    return KeyTrustState::kCurrent;
+  }
+  const bool all_without_log =
+      !zones.empty() &&
+      std::all_of(zones.begin(), zones.end(), [&](const ZoneId& zone) {
+        auto it = heard_.find(zone);
+        return it != heard_.end() && now < it->second.at + bound_ &&
+               !it->second.log_readable;
+      });
+  return all_without_log ? KeyTrustState::kOutage : KeyTrustState::kCutOff;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,232 @@
+#include "http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstring>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include "../ring.h"
+
+namespace bw::net {
+namespace {
+
+constexpr size_t kMaxAnswerBytes = 16U << 20;
+constexpr size_t kCallRingSize = 16'384;
+
+/// One call under way: the easy handle and the buffers it points to.
+struct Transfer {
+  HttpCall call;
+  std::function<bool()> may_send;
+  HttpClient::Done done;
+  size_t body_sent = 0;
+  HttpResult result;
+  curl_slist* header_list = nullptr;
+
+  ~Transfer() { curl_slist_free_all(header_list); }
+};
+
+size_t OnBody(char* data, size_t size, size_t n, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  if (transfer->result.body.size() + size * n > kMaxAnswerBytes) {
+    return 0;
+  }
+  transfer->result.body.append(data, size * n);
+  return size * n;
+}
+
+size_t OnRead(char* buf, size_t size, size_t n, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  const auto& body = transfer->call.body;
+  const size_t count = std::min(size * n, body.size() - transfer->body_sent);
+  std::memcpy(buf, body.data() + transfer->body_sent, count);
+  transfer->body_sent += count;
+  return count;
+}
+
+/// libcurl rewinds the body to send a request again on a fresh connection
+/// when a reused one dies. Refusing to rewind ends the call instead.
+int OnSeek(void*, curl_off_t, int) {
+  return CURL_SEEKFUNC_FAIL;
+}
+
+void SetUp(CURL* easy, Transfer* transfer) {
+  const HttpCall& call = transfer->call;
+  curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(call.timeout.count()));
+  curl_easy_setopt(
+      easy, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>(std::min<int64_t>(call.timeout.count(), 2000)));
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+  transfer->header_list = curl_slist_append(transfer->header_list, "Expect:");
+  for (const auto& it : call.headers) {
+    transfer->header_list = curl_slist_append(
+        transfer->header_list, (it.first + ": " + it.second).c_str());
+  }
+  if (!call.body.empty()) {
+    curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+    curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE,
+                     static_cast<curl_off_t>(call.body.size()));
+    curl_easy_setopt(easy, CURLOPT_READFUNCTION, OnRead);
+    curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_SEEKFUNCTION, OnSeek);
+  } else if (call.method != "GET") {
+    // Without a body there is nothing to rewind, so only a fresh connection
+    // keeps libcurl from sending twice.
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, "");
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE, 0L);
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
+}
+
+CallFate FateOf(CURLcode code) {
+  switch (code) {
+    case CURLE_OK:
+      return CallFate::kAnswered;
+    case CURLE_COULDNT_CONNECT:
+    case CURLE_COULDNT_RESOLVE_HOST:
+    case CURLE_URL_MALFORMAT:
+    case CURLE_UNSUPPORTED_PROTOCOL:
+      return CallFate::kNotSent;
+    default:
+      return CallFate::kUnknown;
+  }
+}
+
+/// A timeout that fell while connecting left no byte behind.
+bool NeverConnected(CURL* easy, CURLcode code) {
+  curl_off_t connect_us = 0;
+  curl_off_t pretransfer_us = 0;
+  curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connect_us);
+  curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+  return code == CURLE_OPERATION_TIMEDOUT && connect_us == 0 &&
+         pretransfer_us == 0;
+}
+
+void Finish(CURL* easy, CURLcode code, Transfer* transfer) {
+  HttpResult& result = transfer->result;
+  result.fate = NeverConnected(easy, code) ? CallFate::kNotSent : FateOf(code);
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  result.status = static_cast<int>(status);
+  const char* type = nullptr;
+  curl_easy_getinfo(easy, CURLINFO_CONTENT_TYPE, &type);
+  result.content_type = type == nullptr ? "" : type;
+}
+
+class CurlClient : public HttpClient {
+ public:
+  explicit CurlClient(long connections_per_host)
+      : calls_(kCallRingSize), multi_(curl_multi_init()) {
+    curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      connections_per_host);
+    thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
+  }
+
+  ~CurlClient() override {
+    thread_.request_stop();
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    curl_multi_cleanup(multi_);
+  }
+
+  void Send(HttpCall call, std::function<bool()> may_send, Done done) override {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->call = std::move(call);
+    transfer->may_send = std::move(may_send);
+    transfer->done = std::move(done);
+    auto* kept = transfer.get();
+    if (calls_.Push(std::move(transfer))) {
+      curl_multi_wakeup(multi_);
+    } else if (kept != nullptr && transfer) {
+      transfer->done(HttpResult{CallFate::kNotSent, 0, {}, {}});
+    }
+  }
+
+ private:
+  void Run(const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      while (auto transfer = calls_.TryPop()) {
+        Begin(std::move(*transfer));
+      }
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      Collect();
+      curl_multi_poll(multi_, nullptr, 0, 100, nullptr);
+    }
+    for (auto& it : active_) {
+      curl_multi_remove_handle(multi_, it.first);
+      curl_easy_cleanup(it.first);
+    }
+    active_.clear();
+  }
+
+  void Begin(std::unique_ptr<Transfer> transfer) {
+    if (transfer->may_send && !transfer->may_send()) {
+      transfer->done(HttpResult{CallFate::kNotSent, 0, {}, {}});
+      return;
+    }
+    CURL* easy = nullptr;
+    if (idle_.empty()) {
+      easy = curl_easy_init();
+    } else {
+      easy = idle_.back();
+      idle_.pop_back();
+      curl_easy_reset(easy);
+    }
+    SetUp(easy, transfer.get());
+    active_[easy] = std::move(transfer);
+    curl_multi_add_handle(multi_, easy);
+  }
+
+  void Collect() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      CURL* easy = message->easy_handle;
+      const CURLcode code = message->data.result;
+      curl_multi_remove_handle(multi_, easy);
+      auto node = active_.extract(easy);
+      Finish(easy, code, node.mapped().get());
+      idle_.push_back(easy);
+      node.mapped()->done(std::move(node.mapped()->result));
+    }
+  }
+
+  Ring<std::unique_ptr<Transfer>> calls_;
+  CURLM* multi_;
+  std::unordered_map<CURL*, std::unique_ptr<Transfer>> active_;
+  std::vector<CURL*> idle_;  ///< Easy handles to be used again.
+  std::jthread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<HttpClient> MakeHttpClient(long connections_per_host) {
+  return std::make_unique<CurlClient>(connections_per_host);
+}
+
+HttpResult CallAndWait(const HttpCall& call) {
+  thread_local std::unique_ptr<CURL, void (*)(CURL*)> easy(curl_easy_init(),
+                                                           curl_easy_cleanup);
+  curl_easy_reset(easy.get());
+  Transfer transfer;
+  transfer.call = call;
+  SetUp(easy.get(), &transfer);
+  Finish(easy.get(), curl_easy_perform(easy.get()), &transfer);
+  return transfer.result;
+}
+
+}  // namespace bw::net
--- /dev/null
+++ b/src/net/mesh.cc
@@ -0,0 +1,280 @@
+#include "mesh.h"
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <map>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+#include <zmq.hpp>
+
+#include "../log_func.h"
+#include "../ring.h"
+
+namespace bw::net {
+namespace {
+
+constexpr int kHighWaterMark = 1000;  ///< Messages queued for one peer.
+constexpr size_t kRingSize = 16'384;
+constexpr int kHeartbeatMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 3000;
+constexpr int kReconnectMs = 100;
+constexpr int64_t kMaxMessageBytes = 32LL << 20;
+constexpr milliseconds kTick{20};
+
+/// A message waiting for the mesh's thread.
+struct Outgoing {
+  std::string address;   ///< Of the peer; empty for an answer.
+  std::string identity;  ///< Of the asker's connection, for an answer.
+  proto::Envelope envelope;
+  milliseconds timeout{0};
+  Mesh::Done done;
+  std::function<void()> refused;
+};
+
+struct Pending {
+  Time deadline;
+  Mesh::Done done;
+};
+
+class ZmqMesh : public Mesh {
+ public:
+  ZmqMesh(MeshOptions options, HybridClock* clock, Handler handler)
+      : options_(std::move(options)),
+        clock_(clock),
+        handler_(std::move(handler)),
+        ring_(std::make_shared<Ring<Outgoing>>(kRingSize)),
+        wake_fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    router_ = zmq::socket_t(context_, zmq::socket_type::router);
+    SetCommon(router_);
+    if (!options_.listen.empty()) {
+      router_.bind("tcp://" + options_.listen);
+    }
+    thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
+  }
+
+  ~ZmqMesh() override {
+    thread_.request_stop();
+    ring_->Close();
+    Wake();
+    thread_.join();
+    close(wake_fd_);
+  }
+
+  void Ask(const std::string& address,
+           proto::Envelope question,
+           milliseconds timeout,
+           Done done,
+           std::function<void()> refused) override {
+    Outgoing out{
+        address,           {}, std::move(question), timeout, std::move(done),
+        std::move(refused)};
+    if (ring_->Push(std::move(out))) {
+      Wake();
+    } else if (out.refused) {
+      out.refused();
+    } else if (out.done) {
+      out.done(nullptr);
+    }
+  }
+
+ private:
+  static void SetCommon(zmq::socket_t& socket) {
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
+    socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
+    socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
+    socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
+    socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  }
+
+  zmq::socket_t& PeerSocket(const std::string& address) {
+    auto it = peers_.find(address);
+    if (it == peers_.end()) {
+      zmq::socket_t socket(context_, zmq::socket_type::dealer);
+      SetCommon(socket);
+      socket.set(zmq::sockopt::immediate, 1);
+      socket.set(zmq::sockopt::reconnect_ivl, kReconnectMs);
+      socket.set(zmq::sockopt::reconnect_ivl_max, kReconnectMs * 5);
+      socket.connect("tcp://" + address);
+      it = peers_.emplace(address, std::move(socket)).first;
+    }
+    return it->second;
+  }
+
+  void Wake() const {
+    const uint64_t one = 1;
+    [[maybe_unused]] auto n = write(wake_fd_, &one, sizeof(one));
+  }
+
+  void Run(const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      std::vector<zmq::pollitem_t> items = {
+          {nullptr, wake_fd_, ZMQ_POLLIN, 0},
+          {router_.handle(), 0, ZMQ_POLLIN, 0}};
+      std::vector<zmq::socket_t*> sockets;
+      for (auto& it : peers_) {
+        items.push_back({it.second.handle(), 0, ZMQ_POLLIN, 0});
+        sockets.push_back(&it.second);
+      }
+      zmq::poll(items, kTick);
+      uint64_t drained = 0;
+      [[maybe_unused]] auto n = read(wake_fd_, &drained, sizeof(drained));
+      if ((items[1].revents & ZMQ_POLLIN) != 0) {
+        ReceiveQuestions();
+      }
+      for (size_t i = 0; i < sockets.size(); ++i) {
+        if ((items[i + 2].revents & ZMQ_POLLIN) != 0) {
+          ReceiveAnswers(*sockets[i]);
+        }
+      }
+      SendQueued();
+      ExpirePending();
+    }
+  }
+
+  void SendQueued() {
+    while (auto out = ring_->TryPop()) {
+      out->envelope.set_from(options_.instance);
+      out->envelope.set_hlc(clock_->Tick());
+      if (out->address.empty()) {
+        SendAnswer(*out);
+      } else {
+        SendQuestion(std::move(*out));
+      }
+    }
+  }
+
+  void SendAnswer(const Outgoing& out) {
+    router_.send(zmq::buffer(out.identity),
+                 zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+    router_.send(zmq::buffer(out.envelope.SerializeAsString()),
+                 zmq::send_flags::dontwait);
+  }
+
+  void SendQuestion(Outgoing out) {
+    out.envelope.set_seq(++last_seq_);
+    bool sent = false;
+    try {
+      sent = PeerSocket(out.address)
+                 .send(zmq::buffer(out.envelope.SerializeAsString()),
+                       zmq::send_flags::dontwait)
+                 .has_value();
+    } catch (const zmq::error_t& e) {
+      Log(Part::kMesh, LogLevel::kWarn, "Cannot send to {}: {}.", out.address,
+          e.what());
+    }
+    if (sent) {
+      pending_[last_seq_] = {BootClock::now() + out.timeout,
+                             std::move(out.done)};
+    } else if (out.refused) {
+      out.refused();
+    } else if (out.done) {
+      out.done(nullptr);
+    }
+  }
+
+  void ReceiveQuestions() {
+    zmq::message_t identity;
+    zmq::message_t payload;
+    while (router_.recv(identity, zmq::recv_flags::dontwait)) {
+      if (!identity.more()) {
+        continue;
+      }
+      if (!router_.recv(payload, zmq::recv_flags::dontwait)) {
+        return;
+      }
+      proto::Envelope question;
+      if (payload.more() ||
+          !question.ParseFromArray(payload.data(),
+                                   static_cast<int>(payload.size()))) {
+        Log(Part::kMesh, LogLevel::kWarn, "A message cannot be read.");
+        SkipRest();
+        continue;
+      }
+      clock_->Hear(question.hlc());
+      const uint64_t seq = question.seq();
+      handler_(question, MakeReply(identity.to_string(), seq));
+    }
+  }
+
+  void SkipRest() {
+    zmq::message_t part;
+    while (router_.get(zmq::sockopt::rcvmore) != 0 &&
+           router_.recv(part, zmq::recv_flags::dontwait)) {
+    }
+  }
+
+  Reply MakeReply(std::string identity, uint64_t seq) {
+    // The reply may outlive the mesh, so it holds the ring, not the mesh.
+    return [ring = ring_, wake_fd = wake_fd_, identity = std::move(identity),
+            seq](proto::Envelope answer) {
+      answer.set_seq(seq);
+      Outgoing out{{}, identity, std::move(answer), {}, {}, {}};
+      if (ring->Push(std::move(out)) && !ring->closed()) {
+        const uint64_t one = 1;
+        [[maybe_unused]] auto n = write(wake_fd, &one, sizeof(one));
+      }
+    };
+  }
+
+  void ReceiveAnswers(zmq::socket_t& socket) {
+    zmq::message_t payload;
+    while (socket.recv(payload, zmq::recv_flags::dontwait)) {
+      proto::Envelope answer;
+      if (!answer.ParseFromArray(payload.data(),
+                                 static_cast<int>(payload.size()))) {
+        continue;
+      }
+      clock_->Hear(answer.hlc());
+      auto node = pending_.extract(answer.seq());
+      if (!node.empty() && node.mapped().done) {
+        node.mapped().done(&answer);
+      }
+    }
+  }
+
+  void ExpirePending() {
+    const Time now = BootClock::now();
+    if (now < next_expiry_) {
+      return;
+    }
+    next_expiry_ = now + kTick;
+    for (auto it = pending_.begin(); it != pending_.end();) {
+      if (it->second.deadline > now) {
+        ++it;
+        continue;
+      }
+      auto done = std::move(it->second.done);
+      it = pending_.erase(it);
+      if (done) {
+        done(nullptr);
+      }
+    }
+  }
+
+  const MeshOptions options_;
+  HybridClock* const clock_;
+  const Handler handler_;
+  std::shared_ptr<Ring<Outgoing>> ring_;
+  const int wake_fd_;
+  zmq::context_t context_{1};
+  zmq::socket_t router_;
+  std::map<std::string, zmq::socket_t> peers_;  ///< By address.
+  std::unordered_map<uint64_t, Pending> pending_;
+  uint64_t last_seq_ = 0;
+  Time next_expiry_ = kNever;
+  std::jthread thread_;
+};
+
+}  // namespace
+
+std::unique_ptr<Mesh> MakeMesh(MeshOptions options,
+                               HybridClock* clock,
+                               Mesh::Handler handler) {
+  return std::make_unique<ZmqMesh>(std::move(options), clock,
+                                   std::move(handler));
+}
+
+}  // namespace bw::net
--- /dev/null
+++ b/src/place_type.h
@@ -0,0 +1,55 @@
+// Plain types of the placing decision.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "id_type.h"
+
+namespace bw {
+
+/// What one task needs, or what a worker has.
+struct Resources {
+  uint64_t millicores = 0;
+  uint64_t memory_mb = 0;
+  uint64_t accelerators = 0;
+
+  auto operator<=>(const Resources&) const = default;
+
+  bool Fits(const Resources& room) const {
+    return millicores <= room.millicores && memory_mb <= room.memory_mb &&
+           accelerators <= room.accelerators;
+  }
+  Resources operator+(const Resources& it) const {
+    return {millicores + it.millicores, memory_mb + it.memory_mb,
+            accelerators + it.accelerators};
+  }
+  /// @pre `it` fits into this.
+  Resources operator-(const Resources& it) const {
+    return {millicores - it.millicores, memory_mb - it.memory_mb,
+            accelerators - it.accelerators};
+  }
+};
+
+/// One worker as the decision sees it.
+struct WorkerRoom {
+  Resources total;
+  Resources free;
+  uint32_t rack = 0;       ///< Number of the rack.
+  uint32_t same_job = 0;   ///< Tasks of the same job on this worker.
+  uint32_t same_rack = 0;  ///< Tasks of the same job in the rack.
+  bool usable = true;      ///< Live, not leaving, not quarantined.
+};
+
+/// Scores a worker for a task that fits; the lowest score wins.
+using ScoreFunc = double (*)(const WorkerRoom& room, const Resources& need);
+
+/// One way to choose among workers.
+struct Strategy {
+  const char* name;
+  ScoreFunc score;
+  const char* text;
+};
+
+}  // namespace bw
--- /dev/null
+++ b/src/placer.cc
@@ -0,0 +1,443 @@
+#include "placer_base.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "control_func.h"
+#include "log_func.h"
+#include "peer_func.h"
+#include "placer_port.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+constexpr milliseconds kTickEvery{20};
+constexpr milliseconds kClockGap{400};
+constexpr milliseconds kListEvery{500};
+constexpr milliseconds kRecordPause{1000};
+constexpr milliseconds kEndedJobsKept{3'600'000};
+constexpr Duration kListSettle = milliseconds(30'000);
+constexpr Duration kSnapshotRankPause = milliseconds(2000);
+constexpr milliseconds kStartWait{3000};
+
+}  // namespace
+
+Placer::Placer(PlacerOptions options, PlacerParts parts)
+    : options_(std::move(options)),
+      parts_(std::move(parts)),
+      jobs_stream_("jobs." + options_.self.zone.value),
+      authority_(options_.self, options_.times, BootClock::now()),
+      keys_(options_.key_bound, options_.serve_in_outage),
+      state_(control_.state()),
+      loop_(
+          kTickEvery,
+          kClockGap,
+          [this] { Tick(); },
+          [this] { OnGap(); }) {}
+
+Placer::~Placer() = default;
+
+void Placer::Start(Kernel&) {
+  appender_ = std::make_unique<Appender>(parts_.log, parts_.metrics,
+                                         options_.append_interval);
+  mesh_ = net::MakeMesh(
+      {parts_.listen, options_.self.id.value}, &parts_.events->clock(),
+      [this](const proto::Envelope& question, net::Mesh::Reply reply) {
+        OnQuestion(question, std::move(reply));
+      });
+  control_.SetListener(
+      [this](const ControlFollower::StatePtr& state, bool tail, Time asked) {
+        loop_.PostWaiting([this, state, tail, asked] {
+          if (state != state_) {
+            OnControl(state);
+          }
+          if (tail) {
+            OnControlTail(asked);
+          }
+        });
+      });
+  parts_.events->Write(EventKind::kStarted, options_.self.id.value);
+  loop_.Start();
+  control_follower_ = std::make_unique<StreamFollower>(
+      parts_.log, "control", options_.log_wait, &control_);
+  jobs_follower_ = std::make_unique<StreamFollower>(parts_.log, jobs_stream_,
+                                                    options_.log_wait, this);
+  list_thread_ =
+      std::jthread([this](const std::stop_token& it) { ListThread(it); });
+}
+
+void Placer::Drain() {
+  busy_ = true;
+  draining_ = true;
+  loop_.PostWaiting([this] {
+    parts_.events->Write(EventKind::kDrainBegan, options_.self.id.value);
+    resigned_ = true;
+    authority_.Resign();
+    UpdateFence();
+    for (auto& it : shards_) {
+      it.second->requests.RefuseWaiting(ErrorCode::kDraining);
+    }
+    PutControl(LeaveRecord(RandomHex(), options_.self), true, nullptr);
+  });
+}
+
+void Placer::Stop() {
+  list_thread_ = {};
+  jobs_follower_.reset();
+  control_follower_.reset();
+  loop_.Stop();
+  mesh_.reset();
+  appender_.reset();
+  parts_.events->Write(EventKind::kStopped, options_.self.id.value);
+}
+
+void Placer::PutControl(const std::string& record,
+                        bool persistent,
+                        std::function<void(platform::AppendFate)> done) {
+  appender_->Put({"control", record, persistent, std::move(done)});
+}
+
+void Placer::OnControl(const ControlFollower::StatePtr& state) {
+  if (state->version < state_->version) {
+    return;  // Never back to an older configuration.
+  }
+  state_ = state;
+  authority_.OnState(*state_, BootClock::now());
+  UpdateFence();
+  UpdateShards();
+  EndPledges();
+  parts_.metrics->Set("bw_control_version", "",
+                      static_cast<double>(state_->version));
+  parts_.events->Write(EventKind::kConfigApplied,
+                       std::to_string(state_->version));
+}
+
+void Placer::OnControlTail(Time asked) {
+  authority_.OnTailRead(asked);
+  keys_.OnTailRead(asked);
+  UpdateFence();
+}
+
+Offset Placer::OnBatch(const platform::LogBatch& batch) {
+  auto usable = batch;
+  if (jobs_next_ < batch.first) {
+    bool closed = false;
+    for (const auto& it : batch.records) {
+      auto snapshot = JobsSnapshotIn(it.data);
+      if (snapshot && snapshot->version >= batch.first) {
+        jobs_next_ = snapshot->version;
+        loop_.PostWaiting(
+            [this, state = std::move(*snapshot)] { jobs_ = state; });
+        closed = true;
+        break;
+      }
+    }
+    if (!closed && batch.records.empty()) {
+      jobs_next_ = batch.next;  // Nothing is kept: nobody knows more.
+    } else if (!closed) {
+      jobs_next_ = batch.first;
+    }
+  }
+  std::erase_if(usable.records,
+                [this](const auto& it) { return it.offset < jobs_next_; });
+  if (!usable.records.empty()) {
+    jobs_next_ = usable.records.back().offset + 1;
+    loop_.PostWaiting([this, usable] { ApplyJobs(usable); });
+  }
+  return jobs_next_;
+}
+
+void Placer::OnTail(Time) {
+  loop_.PostWaiting([this] {
+    if (!jobs_current_) {
+      jobs_current_ = true;
+      UpdateShards();
+    }
+  });
+}
+
+void Placer::ApplyJobs(const platform::LogBatch& batch) {
+  for (const auto& it : batch.records) {
+    auto event = ApplyJobRecord(&jobs_, it.offset, it.data);
+    if (!event) {
+      continue;
+    }
+    auto job = jobs_.jobs.find(event->job);
+    if (job != jobs_.jobs.end() && job->second.Ended()) {
+      ended_jobs_.emplace_back(BootClock::now(), event->job);
+    }
+    if (Shard* shard = FindShard(event->shard)) {
+      shard->jobs.OnEvent(*event);
+    }
+  }
+}
+
+Shard* Placer::FindShard(uint32_t n) {
+  auto it = shards_.find(static_cast<ShardId>(n));
+  return it == shards_.end() ? nullptr : it->second.get();
+}
+
+void Placer::UpdateFence() {
+  fresh_until_us_ = authority_.FreshUntil().time_since_epoch().count();
+}
+
+/// Makes and renews the shards this placer owns by its newest state.
+void Placer::UpdateShards() {
+  for (uint32_t n = 0; n < state_->shards.size(); ++n) {
+    const auto id = static_cast<ShardId>(n);
+    if (!authority_.Owns(id)) {
+      if (Shard* shard = FindShard(n); shard != nullptr && shard->since != 0) {
+        shard->since = 0;
+        shard->requests.RefuseWaiting(ErrorCode::kNotOwner);
+      }
+      continue;
+    }
+    auto& shard = shards_[id];
+    if (!shard) {
+      shard = std::make_unique<Shard>(id, std::make_unique<Port>(this, id),
+                                      options_.lease);
+    }
+  }
+}
+
+/// Gains a shard at the first moment this placer may act on it.
+void Placer::UpdateShardActing(Shard* shard, Time now) {
+  const bool acts = jobs_current_ && listed_at_ != kNever &&
+                    authority_.MayAct(shard->id, now);
+  if (acts) {
+    const ShardOwner& owner = state_->shards[ToIndex(shard->id)];
+    if (shard->since != owner.since) {
+      shard->since = owner.since;
+      const bool inherits = owner.origin != ShardOrigin::kNew;
+      shard->requests.OnGained(inherits);
+      shard->jobs.OnGained(inherits);
+      OnInstances(listed_);
+    }
+  }
+  if (acts != shard->acting) {
+    shard->acting = acts;
+    parts_.events->Write(
+        acts ? EventKind::kAuthorityGained : EventKind::kAuthorityLost,
+        fmt::format("shard {}", ToIndex(shard->id)));
+    Log(Part::kPlacer, LogLevel::kInfo, "Shard {} {}.", ToIndex(shard->id),
+        acts ? "is ours" : "is not ours to act on");
+  }
+}
+
+void Placer::OnGap() {
+  const Time now = BootClock::now();
+  authority_.OnClockGap(now);
+  keys_.OnClockGap();
+  UpdateFence();
+  parts_.events->Write(EventKind::kClockGap, options_.self.id.value);
+  Log(Part::kPlacer, LogLevel::kWarn,
+      "The process was held up; all authority is dropped.");
+}
+
+void Placer::Tick() {
+  const Time now = BootClock::now();
+  if (now >= next_heartbeat_) {
+    next_heartbeat_ = now + options_.times.promise / 5;
+    SendHeartbeats();
+  }
+  UpdateMembership();
+  UpdateFence();
+  size_t in_flight = 0;
+  for (auto& it : shards_) {
+    Shard* shard = it.second.get();
+    UpdateShardActing(shard, now);
+    if (shard->since != 0) {
+      shard->requests.Tick();
+      shard->jobs.Tick();
+    }
+    in_flight += shard->requests.InFlight();
+  }
+  WriteSnapshots();
+  ForgetEndedJobs();
+  UpdateStatus();
+  if (draining_) {
+    const bool left =
+        !authority_.IsMember() || BootClock::now() > next_join_ + kStartWait;
+    busy_ = in_flight > 0 || !left;
+  } else {
+    next_join_ = std::max(next_join_, now - kRecordPause);
+  }
+}
+
+void Placer::UpdateMembership() {
+  const Time now = BootClock::now();
+  if (resigned_ || control_.tail_asked() == kNever) {
+    return;
+  }
+  if (!authority_.IsMember()) {
+    if (now >= next_join_ && !control_.HasGap()) {
+      next_join_ = now + kRecordPause;
+      PutControl(JoinRecord(RandomHex(), options_.self), false, nullptr);
+    }
+    return;
+  }
+  if (now < next_evict_) {
+    return;
+  }
+  auto is_gone = [](const InstanceId& id, void* user) {
+    const auto* placer = static_cast<const Placer*>(user);
+    const auto& listed = placer->listed_;
+    auto member = placer->state_->members.find(placer->options_.self.id);
+    const bool settled =
+        placer->listed_at_ != kNever &&
+        BootClock::now() - placer->authority_.started() > kListSettle;
+    return settled && member != placer->state_->members.end() &&
+           std::none_of(listed.begin(), listed.end(),
+                        [&](const auto& it) { return it.name == id.value; });
+  };
+  if (auto dead = authority_.FindDead(now, is_gone, this)) {
+    next_evict_ = now + kRecordPause;
+    authority_.BeginEvict(dead->id);
+    Log(Part::kMember, LogLevel::kWarn, "Evicting {}.", dead->id.value);
+    PutControl(EvictRecord(RandomHex(), *dead, options_.self), true, nullptr);
+  }
+}
+
+void Placer::ListThread(const std::stop_token& stop) {
+  while (!stop.stop_requested()) {
+    bw::Handle(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(listed, parts_.list->Read(options_.self.zone));
+          loop_.PostWaiting([this, listed] {
+            listed_ = listed;
+            listed_at_ = BootClock::now();
+            OnInstances(listed);
+          });
+          return {};
+        },
+        [](const Failure&) {});
+    std::this_thread::sleep_for(kListEvery);
+  }
+}
+
+/// @return Which of the zone's shards a backend server belongs to.
+size_t Placer::ZoneShardOf(const std::string& backend) const {
+  std::vector<size_t> zone_shards;
+  for (size_t n = 0; n < state_->shards.size(); ++n) {
+    if (state_->shards[n].zone == options_.self.zone) {
+      zone_shards.push_back(n);
+    }
+  }
+  return zone_shards.empty()
+             ? ToIndex(INVALID_SHARD)
+             : zone_shards[StableHash(backend) % zone_shards.size()];
+}
+
+void Placer::OnInstances(const std::vector<platform::ListedInstance>& listed) {
+  for (auto& it : shards_) {
+    if (it.second->since == 0) {
+      continue;
+    }
+    std::vector<platform::ListedInstance> runners;
+    std::vector<platform::ListedInstance> workers;
+    for (const auto& instance : listed) {
+      if (ZoneShardOf(instance.name) != ToIndex(it.first)) {
+        continue;
+      }
+      if (instance.kind == platform::InstanceKind::kRunner) {
+        runners.push_back(instance);
+      } else if (instance.kind == platform::InstanceKind::kWorker) {
+        workers.push_back(instance);
+      }
+    }
+    it.second->requests.OnInstances(runners);
+    it.second->jobs.OnInstances(workers);
+  }
+}
+
+/// The owner of the fleet's first shard writes snapshots of the control
+/// stream; others only when it does not. Two of them are harmless.
+void Placer::WriteSnapshots() {
+  const Time now = BootClock::now();
+  if (!authority_.IsFresh(now)) {
+    return;
+  }
+  const auto rank = static_cast<int>(std::distance(
+      state_->members.begin(), state_->members.find(options_.self.id)));
+  const Duration every = options_.snapshot_every * (1 + rank);
+  if (control_.SnapshotDue(now, every) &&
+      now - last_snapshot_ > kSnapshotRankPause * (1 + rank)) {
+    last_snapshot_ = now;
+    PutControl(SnapshotRecord(RandomHex(), *control_.state()), false, nullptr);
+  }
+  const bool any_acting =
+      std::any_of(shards_.begin(), shards_.end(),
+                  [](const auto& it) { return it.second->acting; });
+  if (any_acting && jobs_.version > 0 &&
+      now - last_jobs_snapshot_ > options_.snapshot_every) {
+    if (last_jobs_snapshot_ != kNever) {
+      appender_->Put({jobs_stream_, WriteJobsSnapshot(RandomHex(), jobs_),
+                      false, nullptr});
+    }
+    last_jobs_snapshot_ = now;
+  }
+}
+
+void Placer::ForgetEndedJobs() {
+  const Time now = BootClock::now();
+  while (!ended_jobs_.empty() &&
+         now - ended_jobs_.front().first > kEndedJobsKept) {
+    auto it = jobs_.jobs.find(ended_jobs_.front().second);
+    if (it != jobs_.jobs.end()) {
+      const auto& origin = it->second.spec.origin;
+      jobs_.job_keys.erase({origin.team, origin.idempotency_key});
+      jobs_.jobs.erase(it);
+    }
+    ended_jobs_.pop_front();
+  }
+}
+
+void Placer::EndPledges() {
+  for (auto& it : shards_) {
+    for (const auto& move : it.second->usage.Pledges()) {
+      const bool seen = std::any_of(
+          state_->verdicts.begin(), state_->verdicts.end(),
+          [&](const Verdict& verdict) { return verdict.id == move; });
+      if (seen) {
+        it.second->usage.EndPledge(move);
+      }
+    }
+  }
+}
+
+void Placer::UpdateStatus() {
+  const Time now = BootClock::now();
+  nlohmann::json out = {{"instance", options_.self.id.value},
+                        {"zone", options_.self.zone.value},
+                        {"version", state_->version},
+                        {"view", state_->view},
+                        {"member", authority_.IsMember()},
+                        {"fresh", authority_.IsFresh(now)},
+                        {"log_age_ms", AgeMs(control_.tail_asked(), now)}};
+  for (const auto& it : shards_) {
+    const Shard& shard = *it.second;
+    nlohmann::json teams = nlohmann::json::object();
+    for (const auto& team : shard.usage.all()) {
+      teams[team.first.value] = team.second;
+    }
+    out["shards"].push_back({{"shard", ToIndex(shard.id)},
+                             {"acting", shard.acting},
+                             {"free_slots", shard.requests.FreeSlots()},
+                             {"waiting_requests", shard.requests.Waiting()},
+                             {"waiting_tasks", shard.jobs.Waiting()},
+                             {"running_units", teams}});
+  }
+  ready_ = authority_.IsMember() && !state_->zones.empty();
+  std::lock_guard lock(status_mutex_);
+  status_ = out.dump();
+}
+
+std::string Placer::StatusText() const {
+  std::lock_guard lock(status_mutex_);
+  return status_;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/process.cc
@@ -0,0 +1,200 @@
+#include <popt.h>
+#include <signal.h>
+#include <sodium.h>
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <system_error>
+#include <thread>
+
+#include "log_func.h"
+#include "process_func.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+constexpr const char* kVersion = "bilberrywing 0.1.0";
+constexpr milliseconds kDrainPoll{20};
+constexpr milliseconds kLastWrites{200};  ///< For answers on their way out.
+
+enum Option : int {
+  kOptionSet = 1,
+  kOptionVersion,
+  kOptionHelpSettings,
+};
+
+sigset_t StopSignals() {
+  sigset_t out;
+  sigemptyset(&out);
+  sigaddset(&out, SIGTERM);
+  sigaddset(&out, SIGINT);
+  return out;
+}
+
+bool StopPending() {
+  const sigset_t signals = StopSignals();
+  const timespec none{};
+  return sigtimedwait(&signals, nullptr, &none) > 0;
+}
+
+/// The options as popt reads them, and where it puts their values.
+struct Reader {
+  char* file = nullptr;
+  int check_only = 0;
+  std::vector<char*> extra_values;
+  std::vector<poptOption> options;
+
+  ~Reader() {
+    free(file);
+    for (char* it : extra_values) {
+      free(it);
+    }
+  }
+};
+
+void AddOptions(const std::vector<ExtraOption>& extra, Reader* reader) {
+  reader->extra_values.assign(extra.size(), nullptr);
+  auto& out = reader->options;
+  out.push_back({"settings", 's', POPT_ARG_STRING, &reader->file, 0,
+                 "Read settings from FILE (INI)", "FILE"});
+  out.push_back({"set", 'S', POPT_ARG_STRING, nullptr, kOptionSet,
+                 "Set one setting; goes before the file", "SECTION.KEY=VALUE"});
+  out.push_back({"check-settings", 'c', POPT_ARG_NONE, &reader->check_only, 0,
+                 "Check all settings and end", nullptr});
+  out.push_back({"help-settings", 0, POPT_ARG_NONE, nullptr,
+                 kOptionHelpSettings, "Describe every setting and end",
+                 nullptr});
+  out.push_back({"version", 'V', POPT_ARG_NONE, nullptr, kOptionVersion,
+                 "Show the version and end", nullptr});
+  for (size_t n = 0; n < extra.size(); ++n) {
+    out.push_back({extra[n].name, 0, POPT_ARG_STRING, &reader->extra_values[n],
+                   0, extra[n].text, extra[n].value_name});
+  }
+  out.push_back({nullptr, 0, POPT_ARG_INCLUDE_TABLE, poptHelpOptions, 0,
+                 "Help options:", nullptr});
+  out.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
+}
+
+}  // namespace
+
+std::optional<CommandLine> ReadCommandLine(int argc,
+                                           const char** argv,
+                                           const char* usage,
+                                           std::span<const SettingDesc> table,
+                                           std::vector<ExtraOption> extra,
+                                           int* exit_code) {
+  if (sodium_init() < 0) {
+    std::fputs("The random source is not usable.\n", stderr);
+    *exit_code = ToInt(ExitCode::kFailed);
+    return std::nullopt;
+  }
+  Reader reader;
+  AddOptions(extra, &reader);
+  poptContext context =
+      poptGetContext(nullptr, argc, argv, reader.options.data(), 0);
+  poptSetOtherOptionHelp(context, usage);
+  Overrides overrides;
+  *exit_code = ToInt(ExitCode::kOk);
+  int option = 0;
+  while ((option = poptGetNextOpt(context)) > 0) {
+    if (option == kOptionSet) {
+      char* value = poptGetOptArg(context);
+      overrides.emplace_back(value);
+      free(value);
+      continue;
+    }
+    std::printf("%s", option == kOptionVersion
+                          ? (std::string(kVersion) + "\n").c_str()
+                          : SettingsHelp(table).c_str());
+    poptFreeContext(context);
+    return std::nullopt;
+  }
+  if (option < -1) {
+    std::fprintf(stderr, "%s: %s\n", poptBadOption(context, 0),
+                 poptStrerror(option));
+    *exit_code = ToInt(ExitCode::kUsage);
+    poptFreeContext(context);
+    return std::nullopt;
+  }
+  CommandLine out;
+  while (const char* it = poptGetArg(context)) {
+    out.arguments.emplace_back(it);
+  }
+  for (size_t n = 0; n < extra.size(); ++n) {
+    if (reader.extra_values[n] != nullptr) {
+      *extra[n].value = reader.extra_values[n];
+    }
+  }
+  std::vector<SettingFault> faults;
+  out.settings = Settings::Load(reader.file == nullptr ? "" : reader.file,
+                                table, overrides, &faults);
+  poptFreeContext(context);
+  for (const auto& it : faults) {
+    std::fprintf(stderr, "%s\n", it.ToText().c_str());
+  }
+  if (!faults.empty()) {
+    *exit_code = ToInt(ExitCode::kSettings);
+    return std::nullopt;
+  }
+  if (!SetUpLog(out.settings.Text("log.levels"))) {
+    std::fputs("[log] levels: an unknown part or level\n", stderr);
+    *exit_code = ToInt(ExitCode::kSettings);
+    return std::nullopt;
+  }
+  if (reader.check_only != 0) {
+    std::puts("The settings are valid.");
+    return std::nullopt;
+  }
+  return out;
+}
+
+void BlockSignals() {
+  sigset_t all = StopSignals();
+  sigaddset(&all, SIGHUP);
+  sigaddset(&all, SIGPIPE);
+  pthread_sigmask(SIG_BLOCK, &all, nullptr);
+}
+
+void WaitForStop() {
+  const sigset_t signals = StopSignals();
+  int signal = 0;
+  sigwait(&signals, &signal);
+}
+
+int RunKernel(Kernel* kernel, milliseconds drain_limit) {
+  try {
+    kernel->StartAll();
+  } catch (const std::exception& e) {
+    Log(Part::kKernel, LogLevel::kError, "Cannot start: {}.", e.what());
+    kernel->StopAll();
+    return ToInt(ExitCode::kFailed);
+  }
+  Log(Part::kKernel, LogLevel::kInfo, "Started.");
+  WaitForStop();
+  Log(Part::kKernel, LogLevel::kInfo, "Draining.");
+  kernel->DrainAll();
+  const Time limit = BootClock::now() + drain_limit;
+  while (kernel->IsBusy() && BootClock::now() < limit && !StopPending()) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  const bool cut = kernel->IsBusy();
+  std::this_thread::sleep_for(kLastWrites);
+  kernel->StopAll();
+  Log(Part::kKernel, LogLevel::kInfo, "Stopped{}.",
+      cut ? " with work under way" : "");
+  return ToInt(cut ? ExitCode::kFailed : ExitCode::kOk);
+}
+
+std::map<std::string, std::string> ReadLinks(
+    const std::vector<std::string>& pairs) {
+  std::map<std::string, std::string> out;
+  for (const auto& it : pairs) {
+    if (const auto n = it.find('='); n != std::string::npos) {
+      out[Trim(it.substr(0, n))] = Trim(it.substr(n + 1));
+    }
+  }
+  return out;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/process_func.h
@@ -0,0 +1,58 @@
+// What every binary shares: command line, settings, signals.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "clock.h"
+#include "exit_type.h"
+#include "kernel_base.h"
+#include "setting_base.h"
+
+namespace bw {
+
+/// One extra option of a binary, as `--name=VALUE`.
+struct ExtraOption {
+  const char* name;
+  std::string* value;  ///< Where the value goes.
+  const char* text;
+  const char* value_name;
+};
+
+/// A command line that was read.
+struct CommandLine {
+  Settings settings;
+  std::vector<std::string> arguments;  ///< What is not an option.
+};
+
+/// Reads the command line: --settings, --set, --check-settings,
+/// --help-settings, --version, popt's own --help, and `extra`.
+/// @return Nothing if the process should end with `*exit_code`.
+std::optional<CommandLine> ReadCommandLine(int argc,
+                                           const char** argv,
+                                           const char* usage,
+                                           std::span<const SettingDesc> table,
+                                           std::vector<ExtraOption> extra,
+                                           int* exit_code);
+
+/// Blocks SIGTERM, SIGINT and SIGHUP for all threads. Call before any thread
+/// is started.
+void BlockSignals();
+
+/// Waits for SIGTERM or SIGINT.
+void WaitForStop();
+
+/// Starts the kernel's services, runs until SIGTERM or SIGINT, drains and
+/// stops. A second signal ends the wait for the drain.
+/// @param drain_limit Longest wait for work under way.
+int RunKernel(Kernel* kernel, milliseconds drain_limit);
+
+/// Reads "name=ip:port" pairs.
+std::map<std::string, std::string> ReadLinks(
+    const std::vector<std::string>& pairs);
+
+}  // namespace bw
--- /dev/null
+++ b/src/publish.cc
@@ -0,0 +1,265 @@
+#define SI_NO_CONVERSION
+#include <SimpleIni.h>
+#include <fmt/format.h>
+
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "publish_func.h"
+#include "table/account_fields.h"
+#include "table/strategies.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr milliseconds kReadWait{200};
+constexpr milliseconds kAppendTimeout{3000};
+constexpr const char* kFleetObject = "fleet/fleet";
+
+/// "template.small" -> "template/small"; empty if it is no section of ours.
+std::string ObjectOf(const std::string& section) {
+  if (section == "fleet") {
+    return kFleetObject;
+  }
+  for (const char* kind : {"template", "account"}) {
+    const std::string prefix = std::string(kind) + ".";
+    if (section.starts_with(prefix) && IsName(section.substr(prefix.size()))) {
+      return std::string(kind) + "/" + section.substr(prefix.size());
+    }
+  }
+  return {};
+}
+
+Json SectionBody(const CSimpleIniA& ini,
+                 const char* section,
+                 const std::string& file,
+                 std::vector<SettingFault>* faults) {
+  Json out = Json::object();
+  CSimpleIniA::TNamesDepend keys;
+  ini.GetAllKeys(section, keys);
+  for (const auto& key : keys) {
+    CSimpleIniA::TNamesDepend values;
+    ini.GetAllValues(section, key.pItem, values);
+    if (values.size() > 1) {
+      faults->push_back({file, section, key.pItem, "is given twice"});
+    }
+    out[key.pItem] = Trim(values.begin()->pItem);
+  }
+  if (std::string(section) == "fleet" && out.contains("shards_per_zone")) {
+    out["shards_per_zone"] = std::strtoull(
+        out["shards_per_zone"].get<std::string>().c_str(), nullptr, 10);
+  }
+  return out;
+}
+
+void CheckFleet(const Json& body,
+                const std::string& file,
+                std::vector<SettingFault>* faults) {
+  if (SplitList(body.value("zones", ""), ',').empty()) {
+    faults->push_back(
+        {file, "fleet", "zones", "wanted 1 to 64 names separated by commas"});
+  }
+  const Json n = body.value("shards_per_zone", Json(0));
+  constexpr uint64_t kMost = 64;
+  if (!n.is_number_unsigned() || n.get<uint64_t>() < 1 ||
+      n.get<uint64_t>() > kMost) {
+    faults->push_back({file, "fleet", "shards_per_zone",
+                       "wanted a whole number from 1 to 64"});
+  }
+}
+
+/// Stamps every account out, so that each fault is named with its section.
+void CheckAccounts(const ObjectSet& wanted,
+                   const std::string& file,
+                   std::vector<SettingFault>* faults) {
+  for (const auto& [name, body] : wanted) {
+    if (!name.starts_with("account/")) {
+      continue;
+    }
+    const std::string account = name.substr(name.find('/') + 1);
+    const std::string wanted_template = Json::parse(body).value("template", "");
+    auto it = wanted.find("template/" + wanted_template);
+    if (it == wanted.end()) {
+      faults->push_back({file, "account." + account, "template",
+                         "wanted the name of a template"});
+      continue;
+    }
+    Handle([&]() { return StampOut(account, body, it->second); },
+           [&](const Failure& e) {
+             faults->push_back({file, "account." + account, "", e.detail});
+             return ClientAccount{};
+           });
+  }
+}
+
+/// What would be published: the file's objects over the published ones.
+ControlState Merged(const ControlState& published, const ObjectSet& wanted) {
+  ControlState out = published;
+  for (const auto& it : wanted) {
+    out.objects[it.first].body = it.second;
+  }
+  return out;
+}
+
+}  // namespace
+
+ObjectSet ReadTemplateFile(const std::string& file,
+                           const ControlState& published,
+                           std::vector<SettingFault>* faults) {
+  ObjectSet out;
+  CSimpleIniA ini(/*bUtf8=*/true, /*bMultiKey=*/true);
+  if (ini.LoadFile(file.c_str()) < 0) {
+    faults->push_back({file, "", "", "the file cannot be read"});
+    return out;
+  }
+  CSimpleIniA::TNamesDepend sections;
+  ini.GetAllSections(sections);
+  for (const auto& section : sections) {
+    const std::string object = ObjectOf(section.pItem);
+    if (object.empty()) {
+      faults->push_back({file, section.pItem, "",
+                         "wanted fleet, template.NAME or account.NAME"});
+      continue;
+    }
+    const Json body = SectionBody(ini, section.pItem, file, faults);
+    if (object == kFleetObject) {
+      CheckFleet(body, file, faults);
+    }
+    out[object] = body.dump();
+  }
+  ControlState merged = Merged(published, out);
+  ObjectSet all;
+  for (const auto& it : merged.objects) {
+    all[it.first] = it.second.body;
+  }
+  CheckAccounts(all, file, faults);
+  if (faults->empty()) {
+    Handle(
+        [&]() -> leaf::result<bool> {
+          BOOST_LEAF_CHECK(Derive(&merged));
+          return true;
+        },
+        [&](const Failure& e) {
+          faults->push_back({file, "", "", e.detail});
+          return false;
+        });
+  }
+  return out;
+}
+
+std::vector<ObjectChange> Difference(const ControlState& published,
+                                     const ObjectSet& wanted,
+                                     bool prune) {
+  std::vector<ObjectChange> out;
+  for (const auto& [name, body] : wanted) {
+    auto it = published.objects.find(name);
+    if (it == published.objects.end()) {
+      out.push_back({name, 0, body});
+    } else if (it->second.body != body) {
+      out.push_back({name, it->second.version, body});
+    }
+  }
+  for (const auto& [name, object] : published.objects) {
+    if (prune && name != kFleetObject && !wanted.contains(name)) {
+      out.push_back({name, object.version, ""});
+    }
+  }
+  return out;
+}
+
+leaf::result<ControlState> ReadControl(platform::LogService* log) {
+  ControlState state;
+  for (;;) {
+    BOOST_LEAF_AUTO(batch,
+                    log->Read("control", state.version, milliseconds(0)));
+    if (state.version < batch.first) {
+      for (const auto& it : batch.records) {
+        auto snapshot = SnapshotIn(it.data);
+        if (snapshot && snapshot->version >= batch.first) {
+          state = std::move(*snapshot);
+          break;
+        }
+      }
+      if (state.version < batch.first) {
+        return Fail(ErrorCode::kLogUnavailable,
+                    "the log holds no snapshot yet");
+      }
+    }
+    for (const auto& it : batch.records) {
+      if (it.offset == state.version) {
+        ApplyRecord(&state, it.offset, it.data);
+      }
+    }
+    if (state.version >= batch.next) {
+      return state;
+    }
+  }
+}
+
+leaf::result<Verdict> Publish(platform::LogService* log,
+                              ControlState state,
+                              const std::string& by,
+                              const std::vector<ObjectChange>& changes,
+                              milliseconds timeout) {
+  const std::string id = RandomHex();
+  const std::string record = ChangeRecord(id, by, changes);
+  const Time limit = BootClock::now() + timeout;
+  auto result = log->Append("control", {record}, kAppendTimeout);
+  if (result.fate == platform::AppendFate::kNotSent) {
+    return Fail(ErrorCode::kLogUnavailable, "nothing was published");
+  }
+  while (BootClock::now() < limit) {
+    std::optional<Verdict> found;
+    Handle(
+        [&]() -> leaf::result<void> {
+          BOOST_LEAF_AUTO(batch,
+                          log->Read("control", state.version, kReadWait));
+          for (const auto& it : batch.records) {
+            if (it.offset != state.version) {
+              continue;
+            }
+            auto verdict = ApplyRecord(&state, it.offset, it.data);
+            if (verdict && verdict->id == id) {
+              found = verdict;
+            }
+          }
+          return {};
+        },
+        [&](const Failure&) { std::this_thread::sleep_for(kReadWait); });
+    if (found) {
+      return *found;
+    }
+  }
+  return Fail(ErrorCode::kOutcomeUnknown,
+              "change " + id + " may be in the log; run show before retrying");
+}
+
+std::string TemplateHelp() {
+  std::string out =
+      "[fleet]\n  zones            names separated by commas\n"
+      "  shards_per_zone  1 to 64; fixed once published\n"
+      "[template.NAME]    values may be $PARAMETER\n"
+      "  keys             SHA-256 hashes in hex (bwctl hash-key)\n";
+  for (const auto& it : table::kAccountFields) {
+    out += fmt::format("  {:<16} {} to {}. {}\n", it.name, it.min, it.max,
+                       it.text);
+  }
+  for (const auto& it : table::kQueueFields) {
+    out += fmt::format("  queue.NAME.{:<12} {} to {}. {}\n", it.name, it.min,
+                       it.max, it.text);
+  }
+  out += "  queue.NAME.open         yes or no: takes work without a key\n";
+  for (const auto& it : table::kStrategies) {
+    out += fmt::format("  queue.NAME.strategy = {:<10} {}\n", it.name, it.text);
+  }
+  out +=
+      "[account.NAME]\n  template         name of a template\n"
+      "  PARAMETER        value for $PARAMETER\n";
+  return out;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/setting.cc
@@ -0,0 +1,185 @@
+#define SI_NO_CONVERSION
+#include <SimpleIni.h>
+#include <fmt/format.h>
+
+#include <cassert>
+#include <charconv>
+#include <optional>
+
+#include "setting_base.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+using Values = std::map<std::string, std::string, std::less<>>;
+
+std::string NameOf(const SettingDesc& desc) {
+  return fmt::format("{}.{}", desc.section, desc.key);
+}
+
+std::optional<int64_t> ParseInt(const std::string& text) {
+  int64_t n = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (ec != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return n;
+}
+
+std::string AllowedText(const SettingDesc& desc) {
+  switch (desc.type) {
+    case SettingType::kInt:
+      return fmt::format("a whole number from {} to {}", desc.min, desc.max);
+    case SettingType::kName:
+      return "1 to 64 of a-z A-Z 0-9 _ - .";
+    case SettingType::kAddress:
+      return "ip:port, port from 1 to 65535";
+    case SettingType::kUrl:
+      return "http://ip:port";
+    case SettingType::kList:
+      return "texts separated by commas";
+    case SettingType::kText:
+      break;
+  }
+  return fmt::format("a text of at most {} bytes", desc.max);
+}
+
+bool IsAllowed(const SettingDesc& desc, const std::string& value) {
+  constexpr std::string_view kScheme = "http://";
+  switch (desc.type) {
+    case SettingType::kInt: {
+      auto n = ParseInt(value);
+      return n && *n >= desc.min && *n <= desc.max;
+    }
+    case SettingType::kName:
+      return IsName(value);
+    case SettingType::kAddress:
+      return SplitAddress(value).port != 0;
+    case SettingType::kUrl:
+      return value.starts_with(kScheme) &&
+             SplitAddress(value.substr(kScheme.size())).port != 0;
+    case SettingType::kList:
+      return true;
+    case SettingType::kText:
+      break;
+  }
+  return value.size() <= static_cast<size_t>(desc.max);
+}
+
+const SettingDesc* Find(std::span<const SettingDesc> table,
+                        std::string_view name) {
+  for (const auto& it : table) {
+    if (NameOf(it) == name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+/// Reads the file into `values`; unknown names and parse errors are faults.
+void ReadFile(const std::string& file,
+              std::span<const SettingDesc> table,
+              Values* values,
+              std::vector<SettingFault>* faults) {
+  CSimpleIniA ini(/*bUtf8=*/true, /*bMultiKey=*/true);
+  if (ini.LoadFile(file.c_str()) < 0) {
+    faults->push_back({file, "", "", "the file cannot be read"});
+    return;
+  }
+  CSimpleIniA::TNamesDepend sections;
+  ini.GetAllSections(sections);
+  for (const auto& section : sections) {
+    CSimpleIniA::TNamesDepend keys;
+    ini.GetAllKeys(section.pItem, keys);
+    for (const auto& key : keys) {
+      const std::string name = fmt::format("{}.{}", section.pItem, key.pItem);
+      CSimpleIniA::TNamesDepend all;
+      ini.GetAllValues(section.pItem, key.pItem, all);
+      if (Find(table, name) == nullptr) {
+        faults->push_back({file, section.pItem, key.pItem, "no such setting"});
+      } else if (all.size() > 1) {
+        faults->push_back(
+            {file, section.pItem, key.pItem, "the setting is given twice"});
+      } else {
+        (*values)[name] = Trim(all.begin()->pItem);
+      }
+    }
+  }
+}
+
+void ApplyOverrides(std::span<const SettingDesc> table,
+                    const Overrides& overrides,
+                    Values* values,
+                    std::vector<SettingFault>* faults) {
+  for (const auto& it : overrides) {
+    const auto n = it.find('=');
+    const std::string name = Trim(it.substr(0, n));
+    if (n == std::string::npos || Find(table, name) == nullptr) {
+      faults->push_back({"--set", "", name, "no such setting"});
+      continue;
+    }
+    (*values)[name] = Trim(it.substr(n + 1));
+  }
+}
+
+}  // namespace
+
+std::string SettingFault::ToText() const {
+  return fmt::format("{}: [{}] {}: {}", file.empty() ? "defaults" : file,
+                     section, key, problem);
+}
+
+Settings Settings::Load(const std::string& file,
+                        std::span<const SettingDesc> table,
+                        const Overrides& overrides,
+                        std::vector<SettingFault>* faults) {
+  Settings out;
+  if (!file.empty()) {
+    ReadFile(file, table, &out.values_, faults);
+  }
+  ApplyOverrides(table, overrides, &out.values_, faults);
+  for (const auto& it : table) {
+    const std::string name = NameOf(it);
+    auto [value, added] =
+        out.values_.try_emplace(name, it.preset == nullptr ? "" : it.preset);
+    if (added && it.preset == nullptr) {
+      faults->push_back(
+          {file, it.section, it.key, "must be given: " + AllowedText(it)});
+    } else if (!(added && value->second.empty()) &&
+               !IsAllowed(it, value->second)) {
+      faults->push_back({file, it.section, it.key,
+                         fmt::format("'{}' is not allowed; wanted {}",
+                                     value->second, AllowedText(it))});
+    }
+  }
+  return out;
+}
+
+const std::string& Settings::Text(std::string_view name) const {
+  auto it = values_.find(name);
+  assert(it != values_.end());
+  return it->second;
+}
+
+int64_t Settings::Int(std::string_view name) const {
+  return ParseInt(Text(name)).value_or(0);
+}
+
+std::vector<std::string> Settings::List(std::string_view name) const {
+  return SplitList(Text(name), ',');
+}
+
+std::string SettingsHelp(std::span<const SettingDesc> table) {
+  std::string out;
+  for (const auto& it : table) {
+    out += fmt::format("[{}] {}\n    {}\n    Allowed: {}. Default: {}.\n",
+                       it.section, it.key, it.text, AllowedText(it),
+                       it.preset == nullptr ? "none, must be given"
+                       : *it.preset == '\0' ? "empty"
+                                            : it.preset);
+  }
+  return out;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/test/setting_test.cc
@@ -0,0 +1,1 @@
+#include <CppUTest/TestHarness.h>
--- /dev/null
+++ b/test/support/audit.cc
@@ -0,0 +1,186 @@
+#include "audit.h"
+
+#include <algorithm>
+
+#include "../../src/fake/alarm.h"
+
+namespace bw::test {
+namespace {
+
+struct Span {
+  std::string id;
+  uint64_t begin_ms = 0;
+  uint64_t end_ms = 0;
+  uint64_t units = 1;
+};
+
+std::string TeamOf(const Json& run) {
+  const std::string id = run.value("id", "");
+  return id.substr(0, id.find(':'));
+}
+
+uint64_t EndOf(const Json& in) {
+  const uint64_t end = in.value("end_ms", uint64_t{0});
+  return end == 0 ? UINT64_MAX : end;
+}
+
+std::vector<Span> SpansOf(const Evidence& evidence, const std::string& team) {
+  constexpr uint64_t kMillicoresPerUnit = 1000;
+  std::vector<Span> out;
+  for (const auto& runner : evidence.runners) {
+    for (const auto& it : runner["runs"]) {
+      if (TeamOf(it) == team) {
+        out.push_back({it["id"], it["begin_ms"], EndOf(it), 1});
+      }
+    }
+  }
+  for (const auto& worker : evidence.workers) {
+    for (const auto& it : worker["tasks"]) {
+      if (it["team"] == team) {
+        const uint64_t units =
+            (it["millicores"].get<uint64_t>() + kMillicoresPerUnit - 1) /
+            kMillicoresPerUnit;
+        out.push_back({it["id"], it["begin_ms"], EndOf(it), units});
+      }
+    }
+  }
+  return out;
+}
+
+bool IsNotRun(const CallerRecord& caller) {
+  return caller.answered &&
+         caller.answer.find(R"("work":"not_run")") != std::string::npos;
+}
+
+}  // namespace
+
+uint64_t TruthNowMs() {
+  return fake::NowMs();
+}
+
+Findings AuditOverfull(const Evidence& evidence) {
+  Findings out;
+  for (const auto* kind : {&evidence.runners, &evidence.workers}) {
+    for (const auto& it : *kind) {
+      if (it.value("overfull", 0) > 0) {
+        out.push_back("a backend server was given more than it can hold, " +
+                      it["overfull"].dump() + " times");
+      }
+    }
+  }
+  return out;
+}
+
+Findings AuditTwoPlaces(const Evidence& evidence) {
+  std::map<std::string, std::vector<Span>> spans;
+  for (const auto& worker : evidence.workers) {
+    for (const auto& it : worker["tasks"]) {
+      spans[it["id"]].push_back({it["id"], it["begin_ms"], EndOf(it), 1});
+    }
+  }
+  Findings out;
+  for (auto& [id, list] : spans) {
+    std::sort(list.begin(), list.end(), [](const Span& a, const Span& b) {
+      return a.begin_ms < b.begin_ms;
+    });
+    for (size_t n = 1; n < list.size(); ++n) {
+      if (list[n].begin_ms < list[n - 1].end_ms) {
+        out.push_back("task " + id + " ran in two places at once");
+      }
+    }
+  }
+  return out;
+}
+
+Findings AuditRequests(const Evidence& evidence) {
+  std::map<std::string, int> runs;
+  for (const auto& runner : evidence.runners) {
+    for (const auto& it : runner["runs"]) {
+      ++runs[it["body"]];
+    }
+  }
+  Findings out;
+  for (const auto& it : runs) {
+    if (it.second > 1) {
+      out.push_back("request '" + it.first + "' ran " +
+                    std::to_string(it.second) + " times");
+    }
+  }
+  for (const auto& it : evidence.callers) {
+    if (IsNotRun(it) && runs.contains(it.body)) {
+      out.push_back("'" + it.body + "' ran but its caller was told not run");
+    }
+    if (it.answered && it.status == 200 && it.answer != "done " + it.body) {
+      out.push_back("'" + it.body + "' got another answer: " + it.answer);
+    }
+  }
+  return out;
+}
+
+Findings AuditLimit(const Evidence& evidence,
+                    const std::string& team,
+                    uint64_t limit) {
+  std::vector<std::pair<uint64_t, int64_t>> steps;
+  for (const auto& it : SpansOf(evidence, team)) {
+    steps.emplace_back(it.begin_ms, static_cast<int64_t>(it.units));
+    if (it.end_ms != UINT64_MAX) {
+      steps.emplace_back(it.end_ms, -static_cast<int64_t>(it.units));
+    }
+  }
+  // Within one millisecond ends come first.
+  std::sort(steps.begin(), steps.end());
+  int64_t now = 0;
+  int64_t most = 0;
+  for (const auto& it : steps) {
+    now += it.second;
+    most = std::max(most, now);
+  }
+  if (most > static_cast<int64_t>(limit)) {
+    return {team + " had " + std::to_string(most) + " units running, limit " +
+            std::to_string(limit)};
+  }
+  return {};
+}
+
+Findings AuditAnswered(const Evidence& evidence) {
+  Findings out;
+  for (const auto& it : evidence.callers) {
+    if (!it.answered) {
+      out.push_back("the caller of '" + it.body + "' got no whole answer");
+    }
+  }
+  return out;
+}
+
+Findings AuditNoneAfter(const Evidence& evidence,
+                        const std::string& team,
+                        uint64_t since_ms) {
+  Findings out;
+  for (const auto& it : SpansOf(evidence, team)) {
+    if (it.begin_ms > since_ms) {
+      out.push_back(it.id + " began " + std::to_string(it.begin_ms - since_ms) +
+                    " ms too late");
+    }
+  }
+  return out;
+}
+
+Findings AuditAll(const Evidence& evidence) {
+  Findings out;
+  for (auto audit :
+       {AuditOverfull, AuditTwoPlaces, AuditRequests, AuditAnswered}) {
+    const Findings more = audit(evidence);
+    out.insert(out.end(), more.begin(), more.end());
+  }
+  return out;
+}
+
+std::string Join(const Findings& findings) {
+  std::string out;
+  for (const auto& it : findings) {
+    out += it + "\n";
+  }
+  return out;
+}
+
+}  // namespace bw::test
--- /dev/null
+++ b/test/support/fleet.cc
@@ -0,0 +1,443 @@
+#include "fleet.h"
+
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "../../src/text_func.h"
+
+namespace bw::test {
+namespace {
+
+constexpr int kWorkersPerRack = 6;
+constexpr int kRunnerSlots = 8;
+constexpr int kRunnerConnections = 64;
+constexpr int kWorkerCores = 8;
+constexpr int kWorkerMemoryMb = 16'000;
+constexpr milliseconds kStartLimit{30'000};
+
+std::string Local(int port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+void Set(std::vector<std::string>* out, const std::string& setting) {
+  out->push_back("--set");
+  out->push_back(setting);
+}
+
+}  // namespace
+
+std::string KeyOf(const std::string& team) {
+  return "key-of-" + team;
+}
+
+std::string DefaultTemplates(const std::vector<std::string>& zones, int limit) {
+  std::string names;
+  for (const auto& it : zones) {
+    names += (names.empty() ? "" : ",") + it;
+  }
+  std::string out = "[fleet]\nzones = " + names +
+                    "\nshards_per_zone = 1\n"
+                    "[template.standard]\nkeys = $keys\nshare = $share\n"
+                    "upper_limit = $limit\n"
+                    "queue.now.priority = 9\nqueue.now.max_wait_ms = 10000\n"
+                    "queue.now.max_waiting = 1000\n"
+                    "queue.batch.strategy = best_fit\n"
+                    "queue.batch.max_waiting = 1000\n"
+                    "queue.open.open = yes\n"
+                    "queue.open.max_wait_ms = 10000\n";
+  for (const char* team : {"perchas", "tayside"}) {
+    out += "[account." + std::string(team) +
+           "]\ntemplate = standard\nkeys = " + HashKey(KeyOf(team)) +
+           "\nshare = 10\nlimit = " + std::to_string(limit) + "\n";
+  }
+  return out;
+}
+
+Fleet::Fleet(FleetShape shape) : shape_(std::move(shape)) {
+  for (size_t n = 0; n < shape_.instances.size(); ++n) {
+    zones_.emplace_back(1, static_cast<char>('a' + n));
+    zone_of_.insert(zone_of_.end(), shape_.instances[n], zones_.back());
+  }
+  std::string name =
+      (std::filesystem::temp_directory_path() / "bwtest-XXXXXX").string();
+  directory_ = mkdtemp(name.data());
+}
+
+std::string Fleet::Name(int instance) {
+  return "e" + std::to_string(instance);
+}
+
+Json Fleet::Call(const std::string& method,
+                 const std::string& url,
+                 const std::string& body) {
+  net::HttpCall call;
+  call.method = method;
+  call.url = url;
+  call.body = body;
+  const auto result = net::CallAndWait(call);
+  return Json::parse(result.body, nullptr, false);
+}
+
+void Fleet::StartPlatform() {
+  const int port = FreePorts(3);
+  log_url_ = "http://" + Local(port);
+  list_url_ = "http://" + Local(port + 1);
+  platform_.emplace_back(
+      "bwfakelog",
+      std::vector<std::string>{"--set", "fake.listen=" + Local(port)},
+      directory_ + "/log.out");
+  platform_.emplace_back(
+      "bwfakelist",
+      std::vector<std::string>{"--set", "fake.listen=" + Local(port + 1)},
+      directory_ + "/list.out");
+  if (shape_.proxied) {
+    proxy_url_ = "http://" + Local(port + 2);
+    platform_.emplace_back(
+        "bwfakeproxy",
+        std::vector<std::string>{"--set", "fake.listen=" + Local(port + 2)},
+        directory_ + "/proxy.out");
+  }
+}
+
+void Fleet::StartBackends() {
+  const int zones = static_cast<int>(zones_.size());
+  const int runner_port = FreePorts(zones * shape_.runners + 1);
+  const int worker_port = FreePorts(zones * shape_.workers + 1);
+  for (int n = 0; n < zones * shape_.runners; ++n) {
+    runners_.push_back(Local(runner_port + n));
+    instances_.push_back({{"name", "r" + std::to_string(n)},
+                          {"kind", "runner"},
+                          {"zone", zones_[n % zones]},
+                          {"address", runners_.back()},
+                          {"slots", kRunnerSlots},
+                          {"connections", kRunnerConnections}});
+  }
+  for (int n = 0; n < zones * shape_.workers; ++n) {
+    workers_.push_back(Local(worker_port + n));
+    instances_.push_back({{"name", "w" + std::to_string(n)},
+                          {"kind", "worker"},
+                          {"zone", zones_[n % zones]},
+                          {"address", workers_.back()},
+                          {"cores", kWorkerCores},
+                          {"memory_mb", kWorkerMemoryMb},
+                          {"accelerators", 0},
+                          {"rack", n / kWorkersPerRack}});
+  }
+  const auto start = [&](const char* binary, int port, size_t count) {
+    if (count > 0) {
+      platform_.emplace_back(binary,
+                             std::vector<std::string>{
+                                 "--set", "fake.listen=" + Local(port), "--set",
+                                 "fake.count=" + std::to_string(count)},
+                             directory_ + "/" + binary + ".out");
+    }
+  };
+  start("bwfakerunner", runner_port, runners_.size());
+  start("bwfakeworker", worker_port, workers_.size());
+  if (!workers_.empty()) {
+    platform_.pop_back();
+    platform_.emplace_back(
+        "bwfakeworker",
+        std::vector<std::string>{
+            "--set", "fake.listen=" + Local(worker_port), "--set",
+            "fake.count=" + std::to_string(workers_.size()), "--set",
+            "fake.cores=" + std::to_string(kWorkerCores), "--set",
+            "fake.memory_mb=" + std::to_string(kWorkerMemoryMb)},
+        directory_ + "/bwfakeworker.out");
+  }
+}
+
+void Fleet::MakeLinks() {
+  if (!shape_.proxied) {
+    return;
+  }
+  std::vector<std::pair<std::string, std::string>> wanted;  // Name, target.
+  const std::string log = log_url_.substr(7);
+  const std::string list = list_url_.substr(7);
+  for (int n = 0; n < InstanceCount(); ++n) {
+    for (const char* kind : {"e", "g"}) {
+      const std::string from = kind + std::to_string(n);
+      wanted.emplace_back(from + ">log", log);
+      wanted.emplace_back(from + ">list", list);
+      for (int m = 0; m < InstanceCount(); ++m) {
+        wanted.emplace_back(from + ">" + Name(m), Local(mesh_port_ + m));
+      }
+    }
+  }
+  const int port = FreePorts(static_cast<int>(wanted.size()));
+  Json rules = Json::array();
+  for (size_t n = 0; n < wanted.size(); ++n) {
+    links_[wanted[n].first] = Local(port + static_cast<int>(n));
+    rules.push_back({{"name", wanted[n].first},
+                     {"listen", links_[wanted[n].first]},
+                     {"target", wanted[n].second}});
+  }
+  Eventually([&] {
+    return Call("POST", proxy_url_ + "/links", rules.dump()).is_object();
+  });
+}
+
+std::string Fleet::LinkAddress(const std::string& from,
+                               const std::string& to) const {
+  auto it = links_.find(from + ">" + to);
+  return it == links_.end() ? std::string() : it->second;
+}
+
+std::vector<std::string> Fleet::CommonSettings(int instance, bool gate) const {
+  const std::string from = (gate ? "g" : "e") + std::to_string(instance);
+  std::vector<std::string> out;
+  Set(&out, "instance.name=" + Name(instance));
+  Set(&out, "instance.zone=" + zone_of_[instance]);
+  std::string log = log_url_;
+  std::string links;
+  std::string seeds;
+  for (int n = 0; n < InstanceCount(); ++n) {
+    std::string address = Local(mesh_port_ + n);
+    if (shape_.proxied) {
+      address = LinkAddress(from, Name(n));
+      links += (links.empty() ? "" : ",") + Name(n) + "=" + address;
+    }
+    if (n != instance || gate) {
+      seeds += (seeds.empty() ? "" : ",") + address;
+    }
+  }
+  if (shape_.proxied) {
+    log = "http://" + LinkAddress(from, "log");
+    Set(&out, "mesh.links=" + links);
+  }
+  Set(&out, "mesh.seeds=" + seeds);
+  Set(&out, "platform.log=" + log);
+  Set(&out, "timeline.file=" + directory_ + "/events-" + from);
+  return out;
+}
+
+void Fleet::StartPlacer(int instance) {
+  auto arguments = CommonSettings(instance, false);
+  const std::string from = Name(instance);
+  Set(&arguments,
+      "platform.list=" +
+          (shape_.proxied ? "http://" + LinkAddress(from, "list") : list_url_));
+  Set(&arguments, "mesh.listen=" + Local(mesh_port_ + instance));
+  Set(&arguments, "status.listen=" + Local(status_port_ + instance));
+  for (const auto& it : shape_.placer_settings) {
+    Set(&arguments, it);
+  }
+  placers_[instance] = ChildProcess("bwplacer", arguments,
+                                    directory_ + "/placer-" + from + ".out");
+}
+
+void Fleet::StartGate(int instance) {
+  auto arguments = CommonSettings(instance, true);
+  Set(&arguments, "gate.listen=" + Local(gate_port_ + instance));
+  Set(&arguments, "status.listen=" + Local(gate_status_port_ + instance));
+  for (const auto& it : shape_.gate_settings) {
+    Set(&arguments, it);
+  }
+  gates_[instance] =
+      ChildProcess("bwgate", arguments,
+                   directory_ + "/gate-" + std::to_string(instance) + ".out");
+}
+
+bool Fleet::Start() {
+  const int count = InstanceCount();
+  gate_port_ = FreePorts(count);
+  gate_status_port_ = FreePorts(count);
+  mesh_port_ = FreePorts(count);
+  status_port_ = FreePorts(count);
+  StartPlatform();
+  StartBackends();
+  MakeLinks();
+  const bool published = Eventually([&] {
+    const Json listed = Call("POST", list_url_ + "/control",
+                             Json{{"instances", instances_}}.dump());
+    return listed.is_object() &&
+           PublishText(shape_.templates.empty() ? DefaultTemplates(zones_)
+                                                : shape_.templates) == 0;
+  });
+  for (int n = 0; n < count; ++n) {
+    StartPlacer(n);
+    StartGate(n);
+  }
+  return published && Eventually(
+                          [&] {
+                            for (const auto& it : zones_) {
+                              if (OwnerOf(it) < 0) {
+                                return false;
+                              }
+                            }
+                            for (int n = 0; n < count; ++n) {
+                              if (StatusOf(n, true, "/readyz") != "ready\n") {
+                                return false;
+                              }
+                            }
+                            return true;
+                          },
+                          kStartLimit);
+}
+
+std::string Fleet::StatusOf(int instance,
+                            bool gate,
+                            const std::string& page) const {
+  const int port = (gate ? gate_status_port_ : status_port_) + instance;
+  net::HttpCall call;
+  call.url = "http://" + Local(port) + page;
+  call.timeout = milliseconds(1000);
+  return net::CallAndWait(call).body;
+}
+
+int Fleet::OwnerOf(const std::string& zone) const {
+  for (int n = 0; n < InstanceCount(); ++n) {
+    if (zone_of_[n] != zone) {
+      continue;
+    }
+    const Json status =
+        Json::parse(StatusOf(n, false, "/status"), nullptr, false);
+    if (!status.is_object() || !status.contains("shards")) {
+      continue;
+    }
+    for (const auto& it : status["shards"]) {
+      if (it.value("acting", false)) {
+        return n;
+      }
+    }
+  }
+  return -1;
+}
+
+std::string Fleet::GateUrl(int instance) const {
+  return "http://" + Local(gate_port_ + instance);
+}
+
+std::string Fleet::PlacerStatusUrl(int instance) const {
+  return "http://" + Local(status_port_ + instance);
+}
+
+net::HttpResult Fleet::Post(int instance,
+                            const std::string& path,
+                            const std::string& body,
+                            const std::string& team,
+                            const net::Headers& more,
+                            milliseconds timeout) const {
+  net::HttpCall call;
+  call.method = "POST";
+  call.url = GateUrl(instance) + path;
+  call.body = body;
+  call.headers = more;
+  call.timeout = timeout;
+  if (!team.empty()) {
+    call.headers.emplace_back("Bw-Key", KeyOf(team));
+  }
+  return net::CallAndWait(call);
+}
+
+net::HttpResult Fleet::Get(int instance,
+                           const std::string& path,
+                           const std::string& team) const {
+  net::HttpCall call;
+  call.url = GateUrl(instance) + path;
+  call.headers = {{"Bw-Key", KeyOf(team)}};
+  call.timeout = milliseconds(20'000);
+  return net::CallAndWait(call);
+}
+
+net::HttpResult Fleet::Delete(int instance,
+                              const std::string& path,
+                              const std::string& team) const {
+  net::HttpCall call;
+  call.method = "DELETE";
+  call.url = GateUrl(instance) + path;
+  call.headers = {{"Bw-Key", KeyOf(team)}};
+  call.timeout = milliseconds(20'000);
+  return net::CallAndWait(call);
+}
+
+int Fleet::Ctl(const std::vector<std::string>& arguments,
+               std::string* out) const {
+  std::vector<std::string> line = {"--set", "platform.log=" + log_url_};
+  line.insert(line.end(), arguments.begin(), arguments.end());
+  return RunBinary("bwctl", line, out);
+}
+
+int Fleet::PublishText(const std::string& templates, std::string* out) {
+  const std::string file = directory_ + "/templates.ini";
+  std::ofstream(file) << templates;
+  return Ctl({"publish", file}, out);
+}
+
+void Fleet::LogControl(const Json& body) const {
+  Call("POST", log_url_ + "/control", body.dump());
+}
+
+void Fleet::ListControl(const Json& body) const {
+  Call("POST", list_url_ + "/control", body.dump());
+}
+
+void Fleet::SetLeaving(const std::string& name, bool leaving) {
+  for (auto& it : instances_) {
+    if (it["name"] == name) {
+      it["leaving"] = leaving;
+    }
+  }
+  ListControl({{"instances", instances_}});
+}
+
+void Fleet::Links(const std::vector<std::string>& match,
+                  const std::string& there,
+                  const std::string& back,
+                  int delay_ms) const {
+  Call("POST", proxy_url_ + "/control",
+       Json{{"match", match},
+            {"there", there},
+            {"back", back},
+            {"delay_ms", delay_ms}}
+           .dump());
+}
+
+void Fleet::CutZone(const std::string& zone, const std::string& mode) const {
+  std::vector<std::string> match;
+  for (int n = 0; n < InstanceCount(); ++n) {
+    for (int m = 0; m < InstanceCount(); ++m) {
+      if ((zone_of_[n] == zone) != (zone_of_[m] == zone)) {
+        match.push_back("e" + std::to_string(n) + ">" + Name(m));
+        match.push_back("g" + std::to_string(n) + ">" + Name(m));
+      }
+    }
+  }
+  Links(match, mode, mode);
+}
+
+void Fleet::CutFromLog(const std::string& zone, const std::string& mode) const {
+  std::vector<std::string> match;
+  for (int n = 0; n < InstanceCount(); ++n) {
+    if (zone.empty() || zone_of_[n] == zone) {
+      match.push_back("e" + std::to_string(n) + ">log");
+      match.push_back("g" + std::to_string(n) + ">log");
+    }
+  }
+  Links(match, mode, mode);
+}
+
+std::vector<Json> Fleet::RunnerTruth() const {
+  std::vector<Json> out;
+  for (const auto& it : runners_) {
+    out.push_back(Call("GET", "http://" + it + "/truth", ""));
+  }
+  return out;
+}
+
+std::vector<Json> Fleet::WorkerTruth() const {
+  std::vector<Json> out;
+  for (const auto& it : workers_) {
+    out.push_back(Call("GET", "http://" + it + "/truth", ""));
+  }
+  return out;
+}
+
+Json Fleet::LogTruth(const std::string& stream) const {
+  return Call("GET", log_url_ + "/truth?stream=" + stream, "");
+}
+
+}  // namespace bw::test
