--- a/src/append.cc
+++ b/src/append.cc
@@ -26,7 +26,7 @@
 
 void Appender::Put(AppendItem item) {
   ++waiting_;
-  if (!ring_.Push(std::move(item))) {
+  if (!ring_.Push(item)) {
     --waiting_;
     if (item.done) {
       item.done(platform::AppendFate::kNotSent);
@@ -70,6 +70,7 @@
     }
   }
   std::vector<std::string> records;
+  records.reserve(taken.size());
   for (const auto& it : taken) {
     records.push_back(it.record);
   }
--- a/src/bin/bwctl.cc
+++ b/src/bin/bwctl.cc
@@ -247,8 +247,7 @@
 
   static ExitCode Report(const Verdict& verdict) {
     if (verdict.error == ErrorCode::kNone) {
-      std::printf("Accepted as version %llu.\n",
-                  static_cast<unsigned long long>(verdict.offset + 1));
+      std::cout << "Accepted as version " << verdict.offset + 1 << ".\n";
       return ExitCode::kOk;
     }
     std::fprintf(stderr, "Rejected: %s: %s\n", Describe(verdict.error).name,
--- a/src/fake/bwfakeproxy.cc
+++ b/src/fake/bwfakeproxy.cc
@@ -298,5 +298,9 @@
 }  // namespace bw::fake
 
 int main(int argc, const char** argv) {
-  return bw::fake::Main(argc, argv);
+  try {
+    return bw::fake::Main(argc, argv);
+  } catch (const std::exception&) {
+    return bw::ToInt(bw::ExitCode::kFailed);
+  }
 }
--- a/src/loop_base.h
+++ b/src/loop_base.h
@@ -29,12 +29,12 @@
   }
 
   /// Queues a step. @return False if the ring is full: the step is dropped.
-  bool Post(Step step) { return ring_.Push(std::move(step)); }
+  bool Post(Step step) { return ring_.Push(step); }
 
   /// Queues a step that must not be lost; waits for room.
   /// @pre Not called on the loop's own thread.
   void PostWaiting(Step step) {
-    while (!ring_.Push(std::move(step)) && !ring_.closed()) {
+    while (!ring_.Push(step) && !ring_.closed()) {
       std::this_thread::sleep_for(milliseconds(1));
     }
   }
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <atomic>
-#include <cstring>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -42,7 +41,7 @@
   auto* transfer = static_cast<Transfer*>(user);
   const auto& body = transfer->call.body;
   const size_t count = std::min(size * n, body.size() - transfer->body_sent);
-  std::memcpy(buf, body.data() + transfer->body_sent, count);
+  std::copy_n(body.data() + transfer->body_sent, count, buf);
   transfer->body_sent += count;
   return count;
 }
@@ -145,10 +144,9 @@
     transfer->call = std::move(call);
     transfer->may_send = std::move(may_send);
     transfer->done = std::move(done);
-    auto* kept = transfer.get();
-    if (calls_.Push(std::move(transfer))) {
+    if (calls_.Push(transfer)) {
       curl_multi_wakeup(multi_);
-    } else if (kept != nullptr && transfer) {
+    } else {
       transfer->done(HttpResult{CallFate::kNotSent, 0, {}, {}});
     }
   }
--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -70,7 +70,7 @@
     Outgoing out{
         address,           {}, std::move(question), timeout, std::move(done),
         std::move(refused)};
-    if (ring_->Push(std::move(out))) {
+    if (ring_->Push(out)) {
       Wake();
     } else if (out.refused) {
       out.refused();
@@ -212,7 +212,7 @@
             seq](proto::Envelope answer) {
       answer.set_seq(seq);
       Outgoing out{{}, identity, std::move(answer), {}, {}, {}};
-      if (ring->Push(std::move(out)) && !ring->closed()) {
+      if (ring->Push(out) && !ring->closed()) {
         const uint64_t one = 1;
         [[maybe_unused]] auto n = write(wake_fd, &one, sizeof(one));
       }
--- a/src/publish.cc
+++ b/src/publish.cc
@@ -76,7 +76,9 @@
 void CheckAccounts(const ObjectSet& wanted,
                    const std::string& file,
                    std::vector<SettingFault>* faults) {
-  for (const auto& [name, body] : wanted) {
+  for (const auto& object : wanted) {
+    const std::string& name = object.first;
+    const std::string& body = object.second;
     if (!name.starts_with("account/")) {
       continue;
     }
--- a/src/ring.h
+++ b/src/ring.h
@@ -20,9 +20,9 @@
   /// @param capacity Largest number of items held. @pre capacity > 0
   explicit Ring(size_t capacity) : capacity_(capacity) {}
 
-  /// Adds an item. @return False if the ring is full or closed; the item is
-  /// then left with the caller.
-  bool Push(T&& item) {
+  /// Moves `item` into the ring. @return False if the ring is full or closed;
+  /// the item is then left with the caller.
+  bool Push(T& item) {
     {
       std::lock_guard lock(mutex_);
       if (closed_ || items_.size() >= capacity_) {
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -1,1 +1,126 @@
+// The HTTP client never sends a request twice, and knows what it does not
+// know.
+#include "../src/net/http_client.h"
+
 #include <CppUTest/TestHarness.h>
+
+#include <asio.hpp>
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include "support/process.h"
+
+namespace bw::test {
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+/// Answers the first request of a connection; reads the second and closes
+/// without an answer, as a server does that restarts.
+class FlakyServer {
+ public:
+  explicit FlakyServer(int port)
+      : acceptor_(io_,
+                  Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                                static_cast<uint16_t>(port))) {
+    thread_ = std::thread([this] {
+      for (;;) {
+        std::error_code ec;
+        Tcp::socket socket(io_);
+        acceptor_.accept(socket, ec);
+        if (ec || stop_) {
+          return;
+        }
+        Serve(&socket);
+      }
+    });
+  }
+  ~FlakyServer() {
+    stop_ = true;
+    Tcp::socket poke(io_);
+    std::error_code ec;
+    poke.connect(acceptor_.local_endpoint(), ec);
+    thread_.join();
+  }
+
+  int seen() const { return seen_; }
+
+ private:
+  void Serve(Tcp::socket* socket) {
+    for (int n = 0; n < 2; ++n) {
+      std::error_code ec;
+      std::string text;
+      while (text.find("unique-body") == std::string::npos && !ec) {
+        char buf[2048];
+        text.append(buf, socket->read_some(asio::buffer(buf), ec));
+      }
+      if (ec) {
+        return;
+      }
+      ++seen_;
+      if (n == 0) {
+        asio::write(*socket,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
+                    ec);
+      }
+    }
+  }
+
+  asio::io_context io_;
+  Tcp::acceptor acceptor_;
+  std::atomic<int> seen_{0};
+  std::atomic<bool> stop_{false};
+  std::thread thread_;
+};
+
+net::HttpResult SendAndWait(net::HttpClient* client,
+                            const net::HttpCall& call,
+                            std::function<bool()> may_send = nullptr) {
+  std::promise<net::HttpResult> done;
+  client->Send(call, std::move(may_send),
+               [&](net::HttpResult it) { done.set_value(std::move(it)); });
+  return done.get_future().get();
+}
+
+}  // namespace
+
+TEST_GROUP(HttpClient){};
+
+TEST(HttpClient, ReusedConnectionThatDiesIsNotSentAgain) {
+  const int port = FreePorts(1);
+  FlakyServer server(port);
+  auto client = net::MakeHttpClient(1);
+  net::HttpCall call;
+  call.method = "POST";
+  call.url = "http://127.0.0.1:" + std::to_string(port) + "/run";
+  call.body = "unique-body";
+  CHECK(SendAndWait(client.get(), call).fate == net::CallFate::kAnswered);
+  CHECK(SendAndWait(client.get(), call).fate == net::CallFate::kUnknown);
+  LONGS_EQUAL(2, server.seen());
+}
+
+TEST(HttpClient, NobodyListensMeansNotSent) {
+  auto client = net::MakeHttpClient(1);
+  net::HttpCall call;
+  call.method = "POST";
+  call.url = "http://127.0.0.1:" + std::to_string(FreePorts(1)) + "/run";
+  call.body = "x";
+  CHECK(SendAndWait(client.get(), call).fate == net::CallFate::kNotSent);
+}
+
+TEST(HttpClient, TheFenceStopsACallBeforeItsFirstByte) {
+  const int port = FreePorts(1);
+  FlakyServer server(port);
+  auto client = net::MakeHttpClient(1);
+  net::HttpCall call;
+  call.method = "POST";
+  call.url = "http://127.0.0.1:" + std::to_string(port) + "/run";
+  call.body = "unique-body";
+  CHECK(SendAndWait(client.get(), call, [] { return false; }).fate ==
+        net::CallFate::kNotSent);
+  LONGS_EQUAL(0, server.seen());
+}
+
+}  // namespace bw::test
