Feature: [Test] The ten promises with real processes, kills and freezes

Cause: two faults showed. A gate left the placer on its own instance out of its peers, so a zone of one instance never became ready (KeysAreChecked, LeavingRunnerGetsNothingNew failed at start). A gate waited for a killed placer until the whole run time had passed, 43 s (OwnerFrozen failed, others slow). Ruled out: the runners (truth shows them idle during the wait). Change: gates name themselves apart from placers; a call to a placer that is no member any more and silent for 3 s ends as unknown.

--- a/src/gate.cc
+++ b/src/gate.cc
@@ -24,6 +24,7 @@
 constexpr milliseconds kFetchPause{500};
 constexpr milliseconds kUnparkEvery{50};
 constexpr milliseconds kTicketFresh{1500};
+constexpr milliseconds kSilence{3000};
 constexpr milliseconds kContactKept{30'000};
 constexpr milliseconds kAnswerSlack{3000};
 constexpr milliseconds kJobAnswerTime{5000};
@@ -390,6 +391,7 @@
   } else {
     report.set_waiting(report.waiting() + 1);
   }
+  sent_[call->number] = {call, contact->member.id, contact->member.incarnation};
   const auto left = std::chrono::duration_cast<milliseconds>(call->valid_until -
                                                              BootClock::now());
   const milliseconds timeout = call->kind == CallKind::kRequest
@@ -416,6 +418,9 @@
 }
 
 void Gate::OnOutcome(const CallPtr& call, uint32_t shard, WorkOutcome outcome) {
+  if (sent_.erase(call->number) == 0) {
+    return;  // The caller was told before that the outcome is unknown.
+  }
   if (!OthersMayTakeIt(outcome.error)) {
     Finish(call, outcome);
     return;
@@ -436,6 +441,33 @@
   }
 }
 
+/// A placer that is no member any more and silent will hardly answer.
+bool Gate::IsLost(const Sent& sent, Time now) const {
+  auto member = state_->members.find(sent.placer);
+  if (member != state_->members.end()) {
+    return member->second.incarnation != sent.incarnation;
+  }
+  auto contact = contacts_.find(sent.placer);
+  return contact == contacts_.end() ||
+         now - contact->second.received > kSilence;
+}
+
+/// Callers of lost placers are told that the outcome is unknown.
+void Gate::GiveUpLost() {
+  const Time now = BootClock::now();
+  std::vector<CallPtr> lost;
+  for (const auto& it : sent_) {
+    if (IsLost(it.second, now)) {
+      lost.push_back(it.second.call);
+    }
+  }
+  for (const auto& it : lost) {
+    sent_.erase(it->number);
+    Finish(it,
+           {ErrorCode::kOutcomeUnknown, 0, {}, {}, 0, "the placer was lost"});
+  }
+}
+
 void Gate::Finish(const CallPtr& call, const WorkOutcome& outcome) {
   const auto took = BootClock::now() - call->began;
   const char* code = Describe(outcome.error).name;
@@ -472,6 +504,7 @@
   if (now >= next_hello_) {
     next_hello_ = now + kHelloEvery;
     SendHellos();
+    GiveUpLost();
   }
   if (now >= next_unpark_) {
     next_unpark_ = now + kUnparkEvery;
@@ -497,7 +530,9 @@
   std::erase_if(contacts_, [&](const auto& it) {
     return now - it.second.wanted > kContactKept;
   });
-  for (const auto& it : PickPeers(*state_, options_.instance, options_.zone)) {
+  // The placer on the gate's own instance is a peer like any other.
+  const InstanceId self("gate/" + options_.instance.value);
+  for (const auto& it : PickPeers(*state_, self, options_.zone)) {
     Contact& contact = contacts_[it.id];
     if (contact.member != it) {
       contact = Contact{};
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -89,6 +89,13 @@
     std::map<uint32_t, proto::ShardReport> shards;
   };
 
+  /// A call that was sent and not yet answered.
+  struct Sent {
+    CallPtr call;
+    InstanceId placer;
+    uint64_t incarnation = 0;
+  };
+
   void Take(const CallPtr& call, const std::string& team_asked);
   ErrorCode FindOrigin(Call* call, const std::string& team_asked) const;
   void Route(const CallPtr& call);
@@ -101,6 +108,8 @@
                                uint32_t shard) const;
   void OnOutcome(const CallPtr& call, uint32_t shard, WorkOutcome outcome);
   void Park(const CallPtr& call, ErrorCode error);
+  void GiveUpLost();
+  bool IsLost(const Sent& sent, Time now) const;
   void Finish(const CallPtr& call, const WorkOutcome& outcome);
   void Tick();
   void OnGap();
@@ -117,6 +126,7 @@
   KeyTrust keys_;
   std::map<InstanceId, Contact> contacts_;
   std::vector<CallPtr> parked_;
+  std::map<uint64_t, Sent> sent_;  ///< By call number.
   std::atomic<size_t> open_{0};
   uint64_t last_number_ = 0;
   Time next_hello_ = kNever;
--- /dev/null
+++ b/test/promise_test.cc
@@ -0,0 +1,266 @@
+// What must always hold, with real processes and without the proxy.
+#include <CppUTest/TestHarness.h>
+#include <signal.h>
+
+#include <thread>
+
+#include "../src/text_func.h"
+#include "support/audit.h"
+#include "support/load.h"
+
+namespace bw::test {
+namespace {
+
+// The time in which a configuration must be in force everywhere.
+constexpr milliseconds kInForce{9000};
+// "A few seconds" after which a leaving backend server gets nothing new.
+constexpr milliseconds kLeavingGrace{5000};
+
+void Sleep(milliseconds it) {
+  std::this_thread::sleep_for(it);
+}
+
+void CheckClean(const Evidence& evidence) {
+  STRCMP_EQUAL("", Join(AuditAll(evidence)).c_str());
+}
+
+}  // namespace
+
+TEST_GROUP(Promise){};
+
+TEST(Promise, OwnerKilledUnderLoad) {
+  Fleet fleet({.instances = {2, 2}});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 40});
+  CHECK(load.WaitGood(200));
+  const int owner = fleet.OwnerOf("a");
+  fleet.placer(owner).Kill();
+  CHECK(Eventually([&] {
+    const int next = fleet.OwnerOf("a");
+    return next >= 0 && next != owner;
+  }));
+  CHECK(load.WaitGood(200));
+  fleet.StartPlacer(owner);
+  CHECK(load.WaitGood(100));
+  load.Stop();
+  CheckClean(Collect(fleet, {&load}));
+}
+
+TEST(Promise, OwnerFrozenLongerThanEveryLease) {
+  Fleet fleet({.instances = {2, 2},
+               .placer_settings = {"timing.lease_ms=4000"}});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 40});
+  const auto service = fleet.Post(
+      0, "/v1/jobs?queue=batch",
+      R"({"kind":"service","tasks":4,"millicores":1000})", "tayside");
+  LONGS_EQUAL(202, service.status);
+  CHECK(load.WaitGood(200));
+  const int owner = fleet.OwnerOf("a");
+  fleet.placer(owner).Signal(SIGSTOP);
+  CHECK(Eventually([&] {
+    for (int n = 0; n < 2; ++n) {
+      const Json status =
+          n == owner ? Json()
+                     : Json::parse(fleet.StatusOf(n, false, "/status"),
+                                   nullptr, false);
+      if (status.is_object() && status.contains("shards") &&
+          status["shards"][0]["acting"] == true) {
+        return true;
+      }
+    }
+    return false;
+  }));
+  Sleep(milliseconds(5000));
+  fleet.placer(owner).Signal(SIGCONT);
+  CHECK(load.WaitGood(300));
+  load.Stop();
+  CheckClean(Collect(fleet, {&load}));
+}
+
+TEST(Promise, LimitHoldsAcrossTheFleet) {
+  Fleet fleet({.instances = {2, 1, 1}, .templates = DefaultTemplates(
+                                           {"a", "b", "c"}, 7)});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 40, .run_ms = 60});
+  CHECK(load.WaitGood(150));
+  fleet.placer(fleet.OwnerOf("a")).Kill();
+  CHECK(load.WaitGood(150));
+  load.Stop();
+  const auto evidence = Collect(fleet, {&load});
+  CheckClean(evidence);
+  STRCMP_EQUAL("", Join(AuditLimit(evidence, "perchas", 7)).c_str());
+}
+
+TEST(Promise, AllowanceMovesToWhereItIsNeeded) {
+  Fleet fleet({.instances = {1, 1, 1},
+               .templates = DefaultTemplates({"a", "b", "c"}, 9)});
+  CHECK(fleet.Start());
+  // Nine tasks of one job belong to one zone, which starts with three units.
+  const auto job = fleet.Post(
+      0, "/v1/jobs?queue=batch",
+      R"({"kind":"service","tasks":9,"millicores":1000})", "perchas");
+  LONGS_EQUAL(202, job.status);
+  const std::string id = Json::parse(job.body)["job"];
+  CHECK(Eventually([&] {
+    const auto status = fleet.Get(1, "/v1/jobs/" + id, "perchas");
+    const Json in = Json::parse(status.body, nullptr, false);
+    return status.status == 200 && in["tasks"].value("running", 0) == 9;
+  }));
+  const auto evidence = Collect(fleet, {});
+  STRCMP_EQUAL("", Join(AuditLimit(evidence, "perchas", 9)).c_str());
+}
+
+TEST(Promise, KeysAreChecked) {
+  Fleet fleet({.instances = {1}, .workers = 0});
+  CHECK(fleet.Start());
+  const auto code = [](const net::HttpResult& it) {
+    return Json::parse(it.body, nullptr, false).value("code", "");
+  };
+  const std::string now = "/v1/requests?queue=now";
+  STRCMP_EQUAL("unknown_key", code(fleet.Post(0, now, "x", "")).c_str());
+  STRCMP_EQUAL("unknown_key", code(fleet.Post(0, now, "x", "nobody")).c_str());
+  STRCMP_EQUAL("key_of_other_team",
+               code(fleet.Post(0, now + "&team=tayside", "x", "perchas"))
+                   .c_str());
+  STRCMP_EQUAL("unknown_queue",
+               code(fleet.Post(0, "/v1/requests?queue=no", "x", "perchas"))
+                   .c_str());
+  const auto open =
+      fleet.Post(0, "/v1/requests?queue=open&team=tayside", "x", "");
+  LONGS_EQUAL(200, open.status);
+}
+
+TEST(Promise, WithdrawnKeyStopsWorking) {
+  Fleet fleet({.instances = {2, 1}});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 12, .team = "tayside"});
+  CHECK(load.WaitGood(100));
+  LONGS_EQUAL(0, fleet.Ctl({"set", "account/tayside", "keys="}));
+  const uint64_t published = TruthNowMs();
+  Sleep(kInForce + milliseconds(1000));
+  load.Stop();
+  const auto evidence = Collect(fleet, {&load});
+  CheckClean(evidence);
+  STRCMP_EQUAL("",
+               Join(AuditNoneAfter(evidence, "tayside",
+                                   published + kInForce.count()))
+                   .c_str());
+}
+
+TEST(Promise, LeavingRunnerGetsNothingNew) {
+  Fleet fleet({.instances = {1}, .runners = 2, .workers = 0});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 8});
+  CHECK(load.WaitGood(100));
+  fleet.SetLeaving("r0", true);
+  const uint64_t since = TruthNowMs() + kLeavingGrace.count();
+  Sleep(kLeavingGrace);
+  CHECK(load.WaitGood(100));
+  load.Stop();
+  const auto evidence = Collect(fleet, {&load});
+  CheckClean(evidence);
+  Evidence leaving;
+  leaving.runners = {evidence.runners[0]};
+  STRCMP_EQUAL("", Join(AuditNoneAfter(leaving, "perchas", since)).c_str());
+}
+
+TEST(Promise, GracefulReplacementOfEveryInstanceCutsNobodyOff) {
+  Fleet fleet({.instances = {2, 2}});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 16, .run_ms = 100});
+  CHECK(load.WaitGood(50));
+  for (int n = 0; n < fleet.InstanceCount(); ++n) {
+    fleet.gate(n).Signal(SIGTERM);
+    LONGS_EQUAL(0, fleet.gate(n).Wait(milliseconds(60'000)));
+    fleet.placer(n).Signal(SIGTERM);
+    LONGS_EQUAL(0, fleet.placer(n).Wait(milliseconds(60'000)));
+    fleet.StartPlacer(n);
+    fleet.StartGate(n);
+    CHECK(load.WaitGood(50));
+  }
+  load.Stop();
+  const auto evidence = Collect(fleet, {&load});
+  CheckClean(evidence);
+  for (const auto& it : evidence.callers) {
+    CHECK(it.answer.find("outcome_unknown") == std::string::npos);
+  }
+}
+
+TEST(Promise, RacingOperatorsGetOneVerdictAndNothingReverts) {
+  Fleet fleet({.instances = {2, 1}, .workers = 0});
+  CHECK(fleet.Start());
+  std::string shown;
+  for (int round = 0; round < 5; ++round) {
+    int codes[2] = {-1, -1};
+    std::thread other([&] {
+      codes[0] = fleet.Ctl({"set", "account/perchas",
+                            "limit=" + std::to_string(100 + round)});
+    });
+    codes[1] = fleet.Ctl({"set", "account/perchas",
+                          "limit=" + std::to_string(200 + round)});
+    other.join();
+    CHECK(codes[0] == 0 || codes[1] == 0);
+    CHECK((codes[0] == 0 || codes[0] == 4) && (codes[1] == 0 || codes[1] == 4));
+    shown.clear();
+    LONGS_EQUAL(0, fleet.Ctl({"show"}, &shown));
+    const uint64_t version = Json::parse(shown)["version"];
+    CHECK(Eventually(
+        [&] {
+          for (int n = 0; n < fleet.InstanceCount(); ++n) {
+            for (const bool gate : {true, false}) {
+              const Json status = Json::parse(
+                  fleet.StatusOf(n, gate, "/status"), nullptr, false);
+              if (!status.is_object() || status["version"] < version) {
+                return false;
+              }
+            }
+          }
+          return true;
+        },
+        kInForce));
+  }
+}
+
+TEST(Promise, IdempotencyKeyRunsOnceWhereverItComesBack) {
+  Fleet fleet({.instances = {2, 2}});
+  CHECK(fleet.Start());
+  const std::string path = "/v1/requests?queue=now";
+  std::vector<CallerRecord> callers;
+  std::mutex mutex;
+  std::vector<std::thread> threads;
+  for (int key = 0; key < 12; ++key) {
+    threads.emplace_back([&, key] {
+      const std::string body = "k" + std::to_string(key) + " ms=300";
+      for (int n = 0; n < 6; ++n) {
+        const auto it = fleet.Post((key + n) % 4, path, body, "perchas",
+                                   {{"Idempotency-Key", std::to_string(key)}},
+                                   milliseconds(n == 0 ? 150 : 30'000));
+        if (it.fate == net::CallFate::kAnswered) {
+          std::lock_guard lock(mutex);
+          callers.push_back({body, "perchas", it.status,
+                             it.body, true});
+        }
+      }
+    });
+  }
+  Sleep(milliseconds(200));
+  fleet.placer(fleet.OwnerOf("a")).Kill();
+  for (auto& it : threads) {
+    it.join();
+  }
+  auto evidence = Collect(fleet, {});
+  int good = 0;
+  for (auto& it : callers) {
+    good += it.status == 200 ? 1 : 0;
+    // "Not run" speaks of this call; a later call may have run the work.
+    if (it.status != 200) {
+      it.answer.clear();
+    }
+  }
+  evidence.callers = callers;
+  CHECK(good > 20);
+  CheckClean(evidence);
+}
+
+}  // namespace bw::test
--- a/test/unit_main.cc
+++ b/test/unit_main.cc
@@ -1,4 +1,5 @@
 #include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <sodium.h>
 
 #include "../src/log_func.h"
@@ -7,6 +8,8 @@
   if (sodium_init() < 0) {
     return 1;
   }
+  // The leak check is not made for threads; see CMakeLists.txt.
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
   bw::SetUpLog("error");
   return CommandLineTestRunner::RunAllTests(argc, argv);
 }
