Fix: [Gate] Lost answers, lost placers and silent peers under cuts and outages

Cause, each found by a test that failed first: - a cancelled job was used after its end (WavesOfCancellations: placer died); - an answer lost on the link left the caller waiting 43 s (AnswersLost, HeldMessages 44 s): nothing asked for it again; - a runner's lost answer held slot and caller for the whole run time; - with the log down, the peer asked in another zone stayed the dead owner, so every zone took the outage for a cut (OwnerLostWhileTheLogIsDown). Ruled out: ZeroMQ's heartbeat (3 s) alone; it ends the link, not the wait. Change: calls have a name; a gate asks for the fate of overdue ones, and a placer that never received one will not run it any more. A request missing from its runner's list ends as unknown after 2 s. Silent peers rank last. A trial that let unnamed calls share one record gave callers each other's answers; the audit found it, and unnamed calls are now refused.

--- a/src/gate.cc
+++ b/src/gate.cc
@@ -25,6 +25,9 @@
 constexpr milliseconds kUnparkEvery{50};
 constexpr milliseconds kTicketFresh{1500};
 constexpr milliseconds kSilence{3000};
+constexpr milliseconds kSilenceOfMember{5000};
+constexpr milliseconds kSettleEvery{1000};
+constexpr milliseconds kSettleTimeout{1000};
 constexpr milliseconds kContactKept{30'000};
 constexpr milliseconds kAnswerSlack{3000};
 constexpr milliseconds kJobAnswerTime{5000};
@@ -96,6 +99,7 @@
       parts_(parts),
       state_(control_.state()),
       keys_(options_.key_bound, options_.serve_in_outage),
+      call_prefix_(options_.instance.value + "." + RandomHex() + ":"),
       loop_(
           kTickEvery,
           kClockGap,
@@ -370,6 +374,7 @@
     it->set_idempotency_key(call.origin.idempotency_key);
     it->set_valid_until_us(valid_until_us);
     it->set_incarnation(contact.member.incarnation);
+    it->set_call(NameOf(call));
   };
   if (call.kind == CallKind::kJob) {
     fill(question.mutable_submit_job());
@@ -391,7 +396,9 @@
   } else {
     report.set_waiting(report.waiting() + 1);
   }
-  sent_[call->number] = {call, contact->member.id, contact->member.incarnation};
+  ++call->sends;
+  sent_[call->number] = {call, contact->member.id, contact->member.incarnation,
+                         BootClock::now(), shard};
   const auto left = std::chrono::duration_cast<milliseconds>(call->valid_until -
                                                              BootClock::now());
   const milliseconds timeout = call->kind == CallKind::kRequest
@@ -399,24 +406,34 @@
                                    : kJobAnswerTime;
   mesh_->Ask(
       AddressOf(contact->member), MakeQuestion(*call, *contact, shard), timeout,
-      [this, call, shard](const proto::Envelope* answer) {
+      [this, call, shard, sends = call->sends](const proto::Envelope* answer) {
         // Without an answer the work may have run.
         WorkOutcome outcome{ErrorCode::kOutcomeUnknown, 0, {}, {}, 0,
                             "no answer from the placer"};
         if (answer != nullptr && answer->has_outcome()) {
           outcome = FromMessage(answer->outcome());
         }
-        loop_.PostWaiting(
-            [this, call, shard, outcome] { OnOutcome(call, shard, outcome); });
+        PostOutcome(call, sends, shard, outcome);
       },
-      [this, call, shard] {
+      [this, call, shard, sends = call->sends] {
         // The message surely did not leave.
-        loop_.PostWaiting([this, call, shard] {
-          OnOutcome(call, shard, {ErrorCode::kNoOwner, 0, {}, {}, 0, {}});
-        });
+        PostOutcome(call, sends, shard,
+                    {ErrorCode::kNoOwner, 0, {}, {}, 0, {}});
       });
 }
 
+/// Answers to an earlier send of a call that went on are dropped.
+void Gate::PostOutcome(const CallPtr& call,
+                       uint32_t sends,
+                       uint32_t shard,
+                       const WorkOutcome& outcome) {
+  loop_.PostWaiting([this, call, sends, shard, outcome] {
+    if (call->sends == sends) {
+      OnOutcome(call, shard, outcome);
+    }
+  });
+}
+
 void Gate::OnOutcome(const CallPtr& call, uint32_t shard, WorkOutcome outcome) {
   if (sent_.erase(call->number) == 0) {
     return;  // The caller was told before that the outcome is unknown.
@@ -441,15 +458,54 @@
   }
 }
 
+/// A call tried at several shards is a new call at each of them.
+std::string Gate::NameOf(const Call& call) const {
+  return call_prefix_ + std::to_string(call.number) + "." +
+         std::to_string(call.sends);
+}
+
+/// Answers may be lost or late; the placer keeps the outcomes for a while.
+void Gate::SettleOverdue() {
+  const Time now = BootClock::now();
+  for (auto& it : sent_) {
+    if (it.second.call->kind != CallKind::kJobQuery &&
+        now - it.second.asked >= kSettleEvery) {
+      it.second.asked = now;
+      AskFate(&it.second);
+    }
+  }
+}
+
+void Gate::AskFate(Sent* sent) {
+  auto contact = contacts_.find(sent->placer);
+  if (contact == contacts_.end()) {
+    return;
+  }
+  proto::Envelope question;
+  question.mutable_settle()->set_call(NameOf(*sent->call));
+  question.mutable_settle()->set_incarnation(sent->incarnation);
+  mesh_->Ask(
+      AddressOf(contact->second.member), std::move(question), kSettleTimeout,
+      [this, call = sent->call, sends = sent->call->sends,
+       shard = sent->shard](const proto::Envelope* answer) {
+        if (answer != nullptr && answer->has_outcome() &&
+            !answer->outcome().pending()) {
+          PostOutcome(call, sends, shard, FromMessage(answer->outcome()));
+        }
+      },
+      nullptr);
+}
+
 /// A placer that is no member any more and silent will hardly answer.
 bool Gate::IsLost(const Sent& sent, Time now) const {
   auto member = state_->members.find(sent.placer);
-  if (member != state_->members.end()) {
-    return member->second.incarnation != sent.incarnation;
+  const bool is_member = member != state_->members.end();
+  if (is_member && member->second.incarnation != sent.incarnation) {
+    return true;
   }
   auto contact = contacts_.find(sent.placer);
-  return contact == contacts_.end() ||
-         now - contact->second.received > kSilence;
+  const Duration silence = is_member ? kSilenceOfMember : kSilence;
+  return contact == contacts_.end() || now - contact->second.received > silence;
 }
 
 /// Callers of lost placers are told that the outcome is unknown.
@@ -496,6 +552,7 @@
 void Gate::OnGap() {
   keys_.OnClockGap();
   contacts_.clear();
+  health_.Clear();
   parts_.events->Write(EventKind::kClockGap, options_.instance.value);
 }
 
@@ -505,6 +562,7 @@
     next_hello_ = now + kHelloEvery;
     SendHellos();
     GiveUpLost();
+    SettleOverdue();
   }
   if (now >= next_unpark_) {
     next_unpark_ = now + kUnparkEvery;
@@ -532,7 +590,9 @@
   });
   // The placer on the gate's own instance is a peer like any other.
   const InstanceId self("gate/" + options_.instance.value);
-  for (const auto& it : PickPeers(*state_, self, options_.zone)) {
+  for (const auto& it :
+       PickPeers(*state_, self, options_.zone, health_.Silent(now))) {
+    health_.OnAsked(it.id, now);
     Contact& contact = contacts_[it.id];
     if (contact.member != it) {
       contact = Contact{};
@@ -576,6 +636,7 @@
       ticket.incarnation() != it->second.member.incarnation) {
     return;
   }
+  health_.OnAnswered(member.id);
   Contact& contact = it->second;
   contact.received = BootClock::now();
   contact.clock_us = ticket.clock_us();
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -16,6 +16,7 @@
 #include "metric_base.h"
 #include "net/http_type.h"
 #include "net/mesh.h"
+#include "peer_base.h"
 #include "work_type.h"
 
 namespace bw {
@@ -75,6 +76,7 @@
     Time began;
     Time valid_until;
     std::set<uint32_t> tried;  ///< Shards that refused for now.
+    uint32_t sends = 0;        ///< Placers it was sent to so far.
     ErrorCode last_error = ErrorCode::kNoOwner;
     net::Responder responder;
   };
@@ -94,6 +96,8 @@
     CallPtr call;
     InstanceId placer;
     uint64_t incarnation = 0;
+    Time asked = kNever;  ///< When its fate was asked for last.
+    uint32_t shard = 0;
   };
 
   void Take(const CallPtr& call, const std::string& team_asked);
@@ -106,9 +110,16 @@
   proto::Envelope MakeQuestion(const Call& call,
                                const Contact& contact,
                                uint32_t shard) const;
+  void PostOutcome(const CallPtr& call,
+                   uint32_t sends,
+                   uint32_t shard,
+                   const WorkOutcome& outcome);
   void OnOutcome(const CallPtr& call, uint32_t shard, WorkOutcome outcome);
   void Park(const CallPtr& call, ErrorCode error);
   void GiveUpLost();
+  void SettleOverdue();
+  void AskFate(Sent* sent);
+  std::string NameOf(const Call& call) const;
   bool IsLost(const Sent& sent, Time now) const;
   void Finish(const CallPtr& call, const WorkOutcome& outcome);
   void Tick();
@@ -124,10 +135,12 @@
   ControlFollower control_;
   ControlFollower::StatePtr state_;
   KeyTrust keys_;
+  PeerHealth health_;
   std::map<InstanceId, Contact> contacts_;
   std::vector<CallPtr> parked_;
   std::map<uint64_t, Sent> sent_;  ///< By call number.
   std::atomic<size_t> open_{0};
+  const std::string call_prefix_;  ///< Names calls uniquely in the fleet.
   uint64_t last_number_ = 0;
   Time next_hello_ = kNever;
   Time next_fetch_ = kNever;
--- a/src/job_board.cc
+++ b/src/job_board.cc
@@ -147,6 +147,7 @@
     }
     AppendTask(JobRecordKind::kCancelled, {id, 0});
     Cancel(job);
+    job = FindJob(id);  // A job without running tasks has ended by this.
   }
   std::map<std::string, uint32_t> counts;
   if (job != nullptr) {
--- a/src/peer.cc
+++ b/src/peer.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <map>
+#include <tuple>
 
 #include "peer_func.h"
 #include "text_func.h"
@@ -13,8 +14,9 @@
 
 std::vector<Member> PickPeers(const ControlState& state,
                               const InstanceId& self,
-                              const ZoneId& zone) {
-  using Rank = std::pair<bool, uint64_t>;
+                              const ZoneId& zone,
+                              const std::set<InstanceId>& silent) {
+  using Rank = std::tuple<bool, bool, uint64_t>;
   std::vector<Member> out;
   std::map<ZoneId, std::pair<Rank, const Member*>> others;
   for (const auto& [id, member] : state.members) {
@@ -25,7 +27,7 @@
       out.push_back(member);
       continue;
     }
-    const Rank rank(OwnsAnyShard(state, id),
+    const Rank rank(!silent.contains(id), OwnsAnyShard(state, id),
                     StableHash(self.value + "/" + id.value));
     auto [it, added] = others.try_emplace(member.zone, rank, &member);
     if (!added && it->second.first < rank) {
--- a/src/placer.cc
+++ b/src/placer.cc
@@ -231,6 +231,7 @@
   const Time now = BootClock::now();
   authority_.OnClockGap(now);
   keys_.OnClockGap();
+  health_.Clear();
   UpdateFence();
   parts_.events->Write(EventKind::kClockGap, options_.self.id.value);
   Log(Part::kPlacer, LogLevel::kWarn,
@@ -257,6 +258,7 @@
   }
   WriteSnapshots();
   ForgetEndedJobs();
+  ForgetOldCalls();
   UpdateStatus();
   if (draining_) {
     const bool left =
--- a/src/placer_base.h
+++ b/src/placer_base.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "append_base.h"
@@ -16,6 +17,7 @@
 #include "loop_base.h"
 #include "net/http_client.h"
 #include "net/mesh.h"
+#include "peer_base.h"
 #include "platform/instance_list.h"
 #include "shard_base.h"
 
@@ -73,6 +75,12 @@
     size_t turn = 0;  ///< Which other shard is asked next.
   };
 
+  /// A gate's call, kept so that a lost answer can be asked for again.
+  struct GateCall {
+    bool ended = false;
+    WorkOutcome outcome;
+  };
+
   // Streams.
   void OnControl(const ControlFollower::StatePtr& state);
   void OnControlTail(Time asked);
@@ -103,6 +111,10 @@
                 const net::Mesh::Reply& reply);
   void OnSubmitJob(const proto::SubmitJob& in, const net::Mesh::Reply& reply);
   void OnJobQuery(const proto::JobQuery& in, const net::Mesh::Reply& reply);
+  void OnSettle(const proto::Settle& in, const net::Mesh::Reply& reply);
+  bool BeginCall(const std::string& call, const net::Mesh::Reply& reply);
+  OutcomeReply EndCallWith(const std::string& call, net::Mesh::Reply reply);
+  void ForgetOldCalls();
   void OnAsk(const proto::AllowanceAsk& in);
   void SendHeartbeats();
   void OnTicket(const Member& peer, Time asked, const proto::Ticket& ticket);
@@ -123,6 +135,7 @@
   const std::string jobs_stream_;
   Authority authority_;
   KeyTrust keys_;
+  PeerHealth health_;
   ControlFollower control_;
   ControlFollower::StatePtr state_;
   JobsState jobs_;
@@ -132,6 +145,10 @@
   std::vector<platform::ListedInstance> listed_;
   Time listed_at_ = kNever;
   std::map<std::pair<ShardId, TeamId>, OwnAsk> asks_;
+  std::unordered_map<std::string, GateCall> calls_;  ///< By the gate's name.
+  std::deque<std::pair<Time, std::string>> ended_calls_;
+  uint64_t last_request_ = 0;
+  size_t kept_bytes_ = 0;  ///< Bodies in `calls_`.
   std::deque<std::pair<Time, JobId>> ended_jobs_;
   Time next_heartbeat_ = kNever;
   Time next_join_ = kNever;
--- a/src/placer_mesh.cc
+++ b/src/placer_mesh.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kFetchPause{500};
 constexpr milliseconds kAskPause{200};
 constexpr milliseconds kAskTimeout{1000};
+constexpr milliseconds kCallsKept{120'000};
+constexpr size_t kMaxKeptBytes = 16U << 20;
 
 }  // namespace
 
@@ -40,6 +42,9 @@
     case proto::Envelope::kJobQuery:
       OnJobQuery(question.job_query(), reply);
       break;
+    case proto::Envelope::kSettle:
+      OnSettle(question.settle(), reply);
+      break;
     case proto::Envelope::kAsk:
       OnAsk(question.ask());
       break;
@@ -91,8 +96,10 @@
   const Time now = BootClock::now();
   keys_.OnHeard(options_.self.zone, state_->version, state_->version,
                 AgeMs(control_.tail_asked(), now), now);
-  const auto peers = PickPeers(*state_, options_.self.id, options_.self.zone);
+  const auto peers = PickPeers(*state_, options_.self.id, options_.self.zone,
+                               health_.Silent(now));
   for (const auto& peer : peers) {
+    health_.OnAsked(peer.id, now);
     proto::Envelope question;
     auto* hello = question.mutable_hello();
     hello->set_is_placer(true);
@@ -124,6 +131,7 @@
   if (ticket.incarnation() != peer.incarnation) {
     return;  // Another incarnation answers at this address.
   }
+  health_.OnAnswered(peer.id);
   authority_.OnHeard(peer.id, ticket.view(), BootClock::now());
   authority_.OnPromise(peer.id, ticket.view(),
                        milliseconds(ticket.promise_ms()), asked);
@@ -151,12 +159,69 @@
       nullptr);
 }
 
+/// @return False if the call was seen before; then it is not run again.
+bool Placer::BeginCall(const std::string& call, const net::Mesh::Reply& reply) {
+  if (call.empty()) {
+    reply(ToEnvelope({ErrorCode::kMalformed, 0, {}, {}, 0, "call"}));
+    return false;  // Two calls without a name would share one answer.
+  }
+  auto [it, added] = calls_.try_emplace(call);
+  if (!added && it->second.ended) {
+    reply(ToEnvelope(it->second.outcome));
+  }
+  return added;
+}
+
+OutcomeReply Placer::EndCallWith(const std::string& call,
+                                 net::Mesh::Reply reply) {
+  return [this, call, reply = std::move(reply)](WorkOutcome outcome) {
+    reply(ToEnvelope(outcome));
+    kept_bytes_ += outcome.body.size();
+    calls_[call] = {true, std::move(outcome)};
+    ended_calls_.emplace_back(BootClock::now(), call);
+  };
+}
+
+/// Outcomes are kept for a time and within a bound of memory.
+void Placer::ForgetOldCalls() {
+  const Time now = BootClock::now();
+  while (!ended_calls_.empty() &&
+         (now - ended_calls_.front().first > kCallsKept ||
+          kept_bytes_ > kMaxKeptBytes)) {
+    auto it = calls_.find(ended_calls_.front().second);
+    if (it != calls_.end()) {
+      kept_bytes_ -= it->second.outcome.body.size();
+      calls_.erase(it);
+    }
+    ended_calls_.pop_front();
+  }
+}
+
+void Placer::OnSettle(const proto::Settle& in, const net::Mesh::Reply& reply) {
+  if (in.incarnation() != options_.self.incarnation) {
+    return;  // Only the incarnation that was asked can know.
+  }
+  auto it = calls_.find(in.call());
+  if (it == calls_.end()) {
+    // Never received: should it still come, it is not run.
+    EndCallWith(in.call(), reply)(
+        {ErrorCode::kNotOwner, 0, {}, {}, 0, "the message was lost"});
+  } else if (it->second.ended) {
+    reply(ToEnvelope(it->second.outcome));
+  } else {
+    proto::Envelope answer;
+    answer.mutable_outcome()->set_pending(true);
+    reply(std::move(answer));
+  }
+}
+
 void Placer::OnSubmit(const proto::Submit& in,
                       const std::string& from,
                       const net::Mesh::Reply& reply) {
-  auto answer = [reply](WorkOutcome outcome) {
-    reply(ToEnvelope(std::move(outcome)));
-  };
+  if (!BeginCall(in.call(), reply)) {
+    return;
+  }
+  auto answer = EndCallWith(in.call(), reply);
   Shard* shard = FindShard(in.shard());
   if (shard == nullptr || in.incarnation() != options_.self.incarnation) {
     return answer({ErrorCode::kNotOwner, 0, {}, {}, 0, {}});
@@ -164,27 +229,27 @@
   if (resigned_) {
     return answer({ErrorCode::kDraining, 0, {}, {}, 0, {}});
   }
-  static uint64_t last_number = 0;
   RequestWork work;
   work.id = in.team() + ":" + options_.self.id.value + "." +
             std::to_string(options_.self.incarnation) + ":" +
-            std::to_string(++last_number);
+            std::to_string(++last_request_);
   work.origin = {TeamId(in.team()), QueueId(in.queue()), in.key_hash(),
                  in.idempotency_key()};
   work.body = in.body();
   work.content_type = in.content_type();
   work.valid_until = Time(Duration(in.valid_until_us()));
   work.max_run = milliseconds(in.max_run_ms());
-  work.reply = answer;
+  work.reply = std::move(answer);
   Log(Part::kPlacer, LogLevel::kDebug, "Request {} from {}.", work.id, from);
   shard->requests.Submit(std::move(work));
 }
 
 void Placer::OnSubmitJob(const proto::SubmitJob& in,
                          const net::Mesh::Reply& reply) {
-  auto answer = [reply](WorkOutcome outcome) {
-    reply(ToEnvelope(std::move(outcome)));
-  };
+  if (!BeginCall(in.call(), reply)) {
+    return;
+  }
+  auto answer = EndCallWith(in.call(), reply);
   Shard* shard = FindShard(in.shard());
   if (shard == nullptr || resigned_ ||
       in.incarnation() != options_.self.incarnation) {
--- a/src/request_board.cc
+++ b/src/request_board.cc
@@ -19,6 +19,7 @@
 constexpr milliseconds kPollEvery{1000};
 constexpr milliseconds kPollUnknownEvery{200};
 constexpr Duration kLongestRun = milliseconds(120'000);
+constexpr Duration kAnswerInTransit = milliseconds(2000);
 constexpr milliseconds kKeyedKept{600'000};
 constexpr uint32_t kFailuresBeforeAvoid = 3;
 constexpr milliseconds kAvoidTime{2000};
@@ -306,6 +307,9 @@
   }
   port_->Events().Write(EventKind::kRequestSent, work.id, runner->info.name);
   auto shared = std::make_shared<RequestWork>(std::move(work));
+  OnRunner& placed = runner->requests.at(shared->id);
+  placed.sent = now;
+  placed.work = shared;
   port_->Call(
       std::move(call), /*unfenced=*/false,
       [this, shared, name = runner->info.name](const net::HttpResult& result) {
@@ -319,6 +323,9 @@
   --in_flight_;
   Runner& runner = runners_.at(name);
   NoteHealth(&runner, result);
+  if (!runner.requests.contains(work->id)) {
+    return;  // Ended before by the runner's own list.
+  }
   if (result.fate == net::CallFate::kNotSent || RunnerRefused(result)) {
     Release(&runner, work->id);
     if (port_->MayAct() && port_->Now() < work->valid_until) {
@@ -419,6 +426,7 @@
   runner.clock_ms = in["now_ms"].get<uint64_t>();
   const auto running = in["running"].get<std::set<std::string>>();
   AdoptListed(&runner, running);
+  EndMissing(&runner, asked, running);
   std::vector<std::string> cleared;
   for (const auto& it : runner.requests) {
     const bool over = it.second.unknown && asked > it.second.ended &&
@@ -434,6 +442,36 @@
   Pump();
 }
 
+/// A request that the runner's list lacks, although it was sent and cannot
+/// start any more, is over: when its answer does not come, it is lost.
+void RequestBoard::EndMissing(Runner* runner,
+                              Time asked,
+                              const std::set<std::string>& running) {
+  std::vector<std::shared_ptr<RequestWork>> lost;
+  for (auto& [id, entry] : runner->requests) {
+    const bool over = !entry.unknown && entry.work && asked > entry.sent &&
+                      runner->clock_ms > entry.not_after_ms &&
+                      !running.contains(id);
+    if (!over) {
+      entry.missing = kNever;
+    } else if (entry.missing == kNever) {
+      entry.missing = asked;
+    } else if (asked - entry.missing >= kAnswerInTransit) {
+      lost.push_back(entry.work);
+    }
+  }
+  for (const auto& it : lost) {
+    Release(runner, it->id);
+    port_->Events().Write(EventKind::kRequestEnded, it->id, "answer lost");
+    End(it.get(), {ErrorCode::kOutcomeUnknown,
+                   0,
+                   {},
+                   {},
+                   0,
+                   "the runner's answer was lost"});
+  }
+}
+
 /// A new owner takes over what the former one left on the runner.
 void RequestBoard::AdoptListed(Runner* runner,
                                const std::set<std::string>& running) {
--- a/src/request_board_base.h
+++ b/src/request_board_base.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -58,6 +59,9 @@
     bool unknown = false;       ///< Its fate is not known.
     uint64_t not_after_ms = 0;  ///< Runner's clock: it starts no later.
     Time ended = kNever;        ///< When the call ended.
+    Time sent = kNever;
+    Time missing = kNever;  ///< Since when the runner's list lacks it.
+    std::shared_ptr<RequestWork> work;  ///< Null when inherited.
   };
   struct Runner {
     platform::ListedInstance info;
@@ -109,6 +113,9 @@
   void OnPolled(const std::string& name,
                 Time asked,
                 const net::HttpResult& result);
+  void EndMissing(Runner* runner,
+                  Time asked,
+                  const std::set<std::string>& running);
   void AdoptListed(Runner* runner, const std::set<std::string>& running);
   void CountUnseen();
   void DropExpired();
--- a/src/work_type.h
+++ b/src/work_type.h
@@ -84,7 +84,9 @@
   std::set<uint32_t> started;  ///< Run-once tasks whose start was recorded.
 
   bool operator==(const JobRecord&) const = default;
-  bool Ended() const { return done.size() + failed.size() >= spec.tasks; }
+  bool Ended() const {
+    return cancelled || done.size() + failed.size() >= spec.tasks;
+  }
 };
 
 /// A request with an idempotency key that was to be sent.
--- a/test/audit_test.cc
+++ b/test/audit_test.cc
@@ -6,7 +6,9 @@
 namespace bw::test {
 namespace {
 
-Json Run(const std::string& id, const std::string& body, uint64_t begin,
+Json Run(const std::string& id,
+         const std::string& body,
+         uint64_t begin,
          uint64_t end) {
   return {{"id", id}, {"body", body}, {"begin_ms", begin}, {"end_ms", end}};
 }
@@ -21,9 +23,9 @@
 
 Evidence Clean() {
   Evidence out;
-  out.runners.push_back({{"overfull", 0},
-                         {"runs", {Run("t:a:1", "one", 10, 20),
-                                   Run("t:a:2", "two", 20, 30)}}});
+  out.runners.push_back(
+      {{"overfull", 0},
+       {"runs", {Run("t:a:1", "one", 10, 20), Run("t:a:2", "two", 20, 30)}}});
   out.workers.push_back(
       {{"overfull", 0}, {"tasks", {Task("j/0", 10, 20), Task("j/0", 20, 0)}}});
   out.callers = {{"one", "t", 200, "done one", true},
--- a/test/promise_test.cc
+++ b/test/promise_test.cc
@@ -46,9 +46,26 @@
   CheckClean(Collect(fleet, {&load}));
 }
 
+TEST(Promise, GateKilledUnderLoad) {
+  Fleet fleet({.instances = {2, 1}});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 20});
+  for (int n = 0; n < 3; ++n) {
+    CHECK(load.WaitGood(100));
+    fleet.gate(n).Kill();
+    fleet.StartGate(n);
+  }
+  CHECK(load.WaitGood(100));
+  load.Stop();
+  const auto evidence = Collect(fleet, {&load});
+  // The callers of a killed gate are cut off; all else must hold.
+  STRCMP_EQUAL("", Join(AuditOverfull(evidence)).c_str());
+  STRCMP_EQUAL("", Join(AuditRequests(evidence)).c_str());
+}
+
 TEST(Promise, OwnerFrozenLongerThanEveryLease) {
-  Fleet fleet({.instances = {2, 2},
-               .placer_settings = {"timing.lease_ms=4000"}});
+  Fleet fleet(
+      {.instances = {2, 2}, .placer_settings = {"timing.lease_ms=4000"}});
   CHECK(fleet.Start());
   Load load(&fleet, {.callers = 40});
   const auto service = fleet.Post(
@@ -60,10 +77,10 @@
   fleet.placer(owner).Signal(SIGSTOP);
   CHECK(Eventually([&] {
     for (int n = 0; n < 2; ++n) {
-      const Json status =
-          n == owner ? Json()
-                     : Json::parse(fleet.StatusOf(n, false, "/status"),
-                                   nullptr, false);
+      const Json status = n == owner
+                              ? Json()
+                              : Json::parse(fleet.StatusOf(n, false, "/status"),
+                                            nullptr, false);
       if (status.is_object() && status.contains("shards") &&
           status["shards"][0]["acting"] == true) {
         return true;
@@ -79,8 +96,8 @@
 }
 
 TEST(Promise, LimitHoldsAcrossTheFleet) {
-  Fleet fleet({.instances = {2, 1, 1}, .templates = DefaultTemplates(
-                                           {"a", "b", "c"}, 7)});
+  Fleet fleet({.instances = {2, 1, 1},
+               .templates = DefaultTemplates({"a", "b", "c"}, 7)});
   CHECK(fleet.Start());
   Load load(&fleet, {.callers = 40, .run_ms = 60});
   CHECK(load.WaitGood(150));
@@ -120,12 +137,12 @@
   const std::string now = "/v1/requests?queue=now";
   STRCMP_EQUAL("unknown_key", code(fleet.Post(0, now, "x", "")).c_str());
   STRCMP_EQUAL("unknown_key", code(fleet.Post(0, now, "x", "nobody")).c_str());
-  STRCMP_EQUAL("key_of_other_team",
-               code(fleet.Post(0, now + "&team=tayside", "x", "perchas"))
-                   .c_str());
-  STRCMP_EQUAL("unknown_queue",
-               code(fleet.Post(0, "/v1/requests?queue=no", "x", "perchas"))
-                   .c_str());
+  STRCMP_EQUAL(
+      "key_of_other_team",
+      code(fleet.Post(0, now + "&team=tayside", "x", "perchas")).c_str());
+  STRCMP_EQUAL(
+      "unknown_queue",
+      code(fleet.Post(0, "/v1/requests?queue=no", "x", "perchas")).c_str());
   const auto open =
       fleet.Post(0, "/v1/requests?queue=open&team=tayside", "x", "");
   LONGS_EQUAL(200, open.status);
@@ -142,10 +159,9 @@
   load.Stop();
   const auto evidence = Collect(fleet, {&load});
   CheckClean(evidence);
-  STRCMP_EQUAL("",
-               Join(AuditNoneAfter(evidence, "tayside",
-                                   published + kInForce.count()))
-                   .c_str());
+  STRCMP_EQUAL("", Join(AuditNoneAfter(evidence, "tayside",
+                                       published + kInForce.count()))
+                       .c_str());
 }
 
 TEST(Promise, LeavingRunnerGetsNothingNew) {
@@ -194,11 +210,11 @@
   for (int round = 0; round < 5; ++round) {
     int codes[2] = {-1, -1};
     std::thread other([&] {
-      codes[0] = fleet.Ctl({"set", "account/perchas",
-                            "limit=" + std::to_string(100 + round)});
+      codes[0] = fleet.Ctl(
+          {"set", "account/perchas", "limit=" + std::to_string(100 + round)});
     });
-    codes[1] = fleet.Ctl({"set", "account/perchas",
-                          "limit=" + std::to_string(200 + round)});
+    codes[1] = fleet.Ctl(
+        {"set", "account/perchas", "limit=" + std::to_string(200 + round)});
     other.join();
     CHECK(codes[0] == 0 || codes[1] == 0);
     CHECK((codes[0] == 0 || codes[0] == 4) && (codes[1] == 0 || codes[1] == 4));
@@ -238,8 +254,7 @@
                                    milliseconds(n == 0 ? 150 : 30'000));
         if (it.fate == net::CallFate::kAnswered) {
           std::lock_guard lock(mutex);
-          callers.push_back({body, "perchas", it.status,
-                             it.body, true});
+          callers.push_back({body, "perchas", it.status, it.body, true});
         }
       }
     });
--- a/test/support/audit.cc
+++ b/test/support/audit.cc
@@ -176,9 +176,13 @@
 }
 
 std::string Join(const Findings& findings) {
+  constexpr size_t kMostShown = 10;
   std::string out;
-  for (const auto& it : findings) {
-    out += it + "\n";
+  for (size_t n = 0; n < std::min(findings.size(), kMostShown); ++n) {
+    out += findings[n] + "\n";
+  }
+  if (findings.size() > kMostShown) {
+    out += "and " + std::to_string(findings.size() - kMostShown) + " more\n";
   }
   return out;
 }
--- a/test/support/load.cc
+++ b/test/support/load.cc
@@ -43,9 +43,8 @@
     record.team = shape_.team;
     record.body = shape_.name + "-" + std::to_string(caller) + "-" +
                   std::to_string(n) + " ms=" + std::to_string(shape_.run_ms);
-    const auto result =
-        fleet_->Post(gate, "/v1/requests?queue=" + shape_.queue, record.body,
-                     shape_.team);
+    const auto result = fleet_->Post(gate, "/v1/requests?queue=" + shape_.queue,
+                                     record.body, shape_.team);
     if (result.fate == net::CallFate::kNotSent) {
       continue;
     }
--- a/test/support/load.h
+++ b/test/support/load.h
@@ -16,7 +16,7 @@
   int callers = 16;
   std::string team = "perchas";
   std::string queue = "now";
-  int run_ms = 20;      ///< Of each request on its runner.
+  int run_ms = 20;         ///< Of each request on its runner.
   std::string name = "l";  ///< Makes the bodies unique among loads.
 };
 
