--- /dev/null
+++ b/src/bin/bwload.cc
@@ -0,0 +1,337 @@
+// bwload: open-loop, seeded load and experiment tool.
+//
+// Waiting time is from the moment an arrival was planned for, not from when it
+// was sent, so that a tool or a gate that falls behind hides nothing.
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdio>
+#include <fstream>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "../load_func.h"
+#include "../net/http_client.h"
+#include "../process_func.h"
+#include "../table/load_settings.h"
+
+namespace bw {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+constexpr const char* kUsage =
+    "[OPTION...] run | compare A.json B.json\n\n"
+    "run: hands in the load that the settings describe and reports waiting\n"
+    "time, packing, closeness to share and control cost.\n"
+    "compare: prints two reports side by side.\n";
+constexpr milliseconds kCallTimeout{60'000};
+constexpr uint64_t kMicrosPerMs = 1000;
+constexpr uint64_t kSlotsPerRunner = 8;
+constexpr double kFullPart = 0.9;
+
+uint64_t NowMs() {
+  return ToMicros(BootClock::now()) / kMicrosPerMs;
+}
+
+/// Hands the arrivals in at their times and collects the answers.
+class Runner {
+ public:
+  Runner(const Settings& settings, std::vector<LoadTeam> teams)
+      : settings_(settings),
+        teams_(std::move(teams)),
+        gates_(settings.List("load.gates")),
+        http_(net::MakeHttpClient(2000)) {}
+
+  std::vector<LoadResult> Run(const std::vector<Arrival>& arrivals) {
+    results_.resize(arrivals.size());
+    const Time start = BootClock::now();
+    for (size_t n = 0; n < arrivals.size(); ++n) {
+      const Time at =
+          start + Duration(static_cast<int64_t>(arrivals[n].at_s * 1e6));
+      std::this_thread::sleep_for(at - BootClock::now());
+      Send(n, arrivals[n], at);
+    }
+    std::unique_lock lock(mutex_);
+    all_done_.wait(lock, [&] { return ended_ == results_.size(); });
+    return results_;
+  }
+
+ private:
+  void Send(size_t n, const Arrival& arrival, Time intended) {
+    net::HttpCall call;
+    call.method = "POST";
+    call.timeout = kCallTimeout;
+    call.headers = {{"Bw-Key", teams_[arrival.team].key}};
+    const std::string& gate = gates_[n % gates_.size()];
+    if (arrival.is_job) {
+      call.url = gate + "/v1/jobs?queue=" + settings_.Text("load.job_queue");
+      call.body = Json{{"kind", arrival.is_gang ? "gang" : "batch"},
+                       {"tasks", arrival.tasks},
+                       {"millicores", arrival.millicores},
+                       {"run_ms", arrival.run_ms}}
+                      .dump();
+    } else {
+      call.url =
+          gate + "/v1/requests?queue=" + settings_.Text("load.request_queue");
+      call.body = arrival.name + " ms=" + std::to_string(arrival.run_ms);
+    }
+    http_->Send(std::move(call), nullptr,
+                [this, n, &arrival, intended](const net::HttpResult& result) {
+                  OnAnswer(n, arrival, intended, result);
+                });
+  }
+
+  void OnAnswer(size_t n,
+                const Arrival& arrival,
+                Time intended,
+                const net::HttpResult& result) {
+    LoadResult& out = results_[n];
+    out.arrival = &arrival;
+    out.intended_ms = ToMicros(intended) / kMicrosPerMs;
+    out.took_ms = static_cast<double>((BootClock::now() - intended).count()) /
+                  static_cast<double>(kMicrosPerMs);
+    out.status = result.status;
+    const Json in = Json::parse(result.body, nullptr, false);
+    if (result.fate != net::CallFate::kAnswered) {
+      out.code = "lost";
+    } else if (in.is_object()) {
+      out.code = in.value("code", "");
+      out.job = in.value("job", "");
+    }
+    std::lock_guard lock(mutex_);
+    ++ended_;
+    all_done_.notify_one();
+  }
+
+  const Settings& settings_;
+  const std::vector<LoadTeam> teams_;
+  const std::vector<std::string> gates_;
+  std::vector<LoadResult> results_;
+  std::mutex mutex_;
+  std::condition_variable all_done_;
+  size_t ended_ = 0;
+  std::unique_ptr<net::HttpClient> http_;
+};
+
+Json Fetch(const std::string& url) {
+  net::HttpCall call;
+  call.url = url;
+  return Json::parse(net::CallAndWait(call).body, nullptr, false);
+}
+
+/// Reads the stand-ins' records: when what really ran.
+struct Truth {
+  std::vector<UnitSpan> requests;
+  std::vector<UnitSpan> tasks;
+  std::map<std::string, uint64_t> begins;  ///< By request body or task id.
+
+  void Read(const Settings& settings) {
+    size_t backend = 0;
+    for (const auto& it : settings.List("load.runners")) {
+      const Json in = Fetch(it + "/truth");
+      for (const auto& run : in["runs"]) {
+        const std::string id = run["id"];
+        requests.push_back({id.substr(0, id.find(':')), run["begin_ms"],
+                            run["end_ms"], 1, backend});
+        begins[run["body"]] = run["begin_ms"];
+      }
+      ++backend;
+    }
+    for (const auto& it : settings.List("load.workers")) {
+      const Json in = Fetch(it + "/truth");
+      for (const auto& task : in["tasks"]) {
+        tasks.push_back({task["team"], task["begin_ms"], task["end_ms"],
+                         task["millicores"], backend});
+        begins.try_emplace(task["id"], task["begin_ms"]);
+      }
+      ++backend;
+    }
+  }
+};
+
+Json Waits(const std::vector<double>& samples) {
+  return {{"n", samples.size()},
+          {"p50_ms", Quantile(samples, 0.5)},
+          {"p90_ms", Quantile(samples, 0.9)},
+          {"p99_ms", Quantile(samples, 0.99)},
+          {"max_ms", Quantile(samples, 1.0)}};
+}
+
+/// Waiting time by class and team, and what was refused.
+Json WaitingReport(const std::vector<LoadResult>& results,
+                   const std::vector<LoadTeam>& teams,
+                   const Truth& truth) {
+  std::map<std::string, std::vector<double>> waits;
+  std::map<std::string, uint64_t> codes;
+  for (const auto& it : results) {
+    const Arrival& arrival = *it.arrival;
+    ++codes[it.code.empty() ? "ok" : it.code];
+    const std::string& team = teams[arrival.team].name;
+    const auto note = [&](const std::string& name, const char* kind) {
+      auto begin = truth.begins.find(name);
+      if (begin != truth.begins.end()) {
+        const double wait = static_cast<double>(begin->second) -
+                            static_cast<double>(it.intended_ms);
+        waits[kind].push_back(wait);
+        waits[std::string(kind) + " " + team].push_back(wait);
+      }
+    };
+    if (!arrival.is_job) {
+      note(arrival.name + " ms=" + std::to_string(arrival.run_ms), "request");
+      continue;
+    }
+    for (uint32_t n = 0; !it.job.empty() && n < arrival.tasks; ++n) {
+      note(it.job + "/" + std::to_string(n), arrival.is_gang ? "gang" : "task");
+    }
+  }
+  Json out;
+  for (const auto& it : waits) {
+    out["waiting"][it.first] = Waits(it.second);
+  }
+  out["outcomes"] = codes;
+  return out;
+}
+
+double ReadMetric(const std::string& page, const std::string& name) {
+  const auto n = page.find("\n" + name + " ");
+  return n == std::string::npos
+             ? 0
+             : std::strtod(page.c_str() + n + name.size() + 2, nullptr);
+}
+
+/// Cost of the system's own processes: CPU seconds so far and memory now.
+struct Cost {
+  double cpu_s = 0;
+  double most_cpu_s = 0;
+  double most_memory_mb = 0;
+  double appends = 0;
+
+  static Cost Read(const std::vector<std::string>& pages) {
+    constexpr double kBytesPerMb = 1e6;
+    Cost out;
+    for (const auto& it : pages) {
+      net::HttpCall call;
+      call.url = it + "/metrics";
+      const std::string page = "\n" + net::CallAndWait(call).body;
+      const double cpu = ReadMetric(page, "process_cpu_seconds_total");
+      out.cpu_s += cpu;
+      out.most_cpu_s = std::max(out.most_cpu_s, cpu);
+      out.most_memory_mb = std::max(
+          out.most_memory_mb,
+          ReadMetric(page, "process_resident_memory_bytes") / kBytesPerMb);
+      out.appends += ReadMetric(page, "bw_log_appends_total");
+    }
+    return out;
+  }
+};
+
+int RunLoad(const Settings& settings) {
+  const auto teams = ReadTeams(settings.List("load.teams"));
+  if (teams.empty() || settings.List("load.gates").empty()) {
+    std::fputs("Wanted load.teams and load.gates; see --help-settings.\n",
+               stderr);
+    return ToInt(ExitCode::kUsage);
+  }
+  const auto arrivals = PlanArrivals(settings, teams);
+  const auto pages = settings.List("load.pages");
+  const Cost before = Cost::Read(pages);
+  const uint64_t began = NowMs();
+  Runner runner(settings, teams);
+  const auto results = runner.Run(arrivals);
+  const double took_s = static_cast<double>(NowMs() - began) / 1000;
+  const Cost after = Cost::Read(pages);
+  Truth truth;
+  truth.Read(settings);
+  Json out = {{"seed", settings.Int("load.seed")},
+              {"arrivals", arrivals.size()},
+              {"took_s", took_s}};
+  out.update(WaitingReport(results, teams, truth));
+  std::vector<double> took;
+  for (const auto& it : results) {
+    if (!it.arrival->is_job && it.status == 200) {
+      took.push_back(it.took_ms - static_cast<double>(it.arrival->run_ms));
+    }
+  }
+  out["added_latency"] = Waits(took);
+  out["goodput_per_s"] = static_cast<double>(took.size()) / took_s;
+  constexpr uint64_t kMillicoresPerCore = 1000;
+  const auto worker_millicores =
+      static_cast<uint64_t>(settings.Int("load.worker_cores")) *
+      kMillicoresPerCore;
+  const auto full = [](size_t backends, uint64_t each) {
+    return static_cast<uint64_t>(kFullPart *
+                                 static_cast<double>(backends * each));
+  };
+  out["packing"] = Packing(truth.tasks, worker_millicores);
+  out["share_error_requests"] =
+      ShareError(truth.requests, teams,
+                 full(settings.List("load.runners").size(), kSlotsPerRunner));
+  out["share_error_tasks"] =
+      ShareError(truth.tasks, teams,
+                 full(settings.List("load.workers").size(), worker_millicores));
+  out["control"] = {
+      {"processes", pages.size()},
+      {"cpu_percent_mean", pages.empty()
+                               ? 0
+                               : 100 * (after.cpu_s - before.cpu_s) / took_s /
+                                     static_cast<double>(pages.size())},
+      {"memory_mb_most", after.most_memory_mb},
+      {"appends_per_s", (after.appends - before.appends) / took_s}};
+  std::printf("%s\n", out.dump(2).c_str());
+  if (const auto& file = settings.Text("load.out"); !file.empty()) {
+    std::ofstream(file) << out.dump(2) << '\n';
+  }
+  return 0;
+}
+
+void PrintBoth(const std::string& name, const Json& a, const Json& b) {
+  if (a.is_object()) {
+    for (const auto& it : a.items()) {
+      PrintBoth(name + (name.empty() ? "" : ".") + it.key(), it.value(),
+                b.is_object() && b.contains(it.key()) ? b[it.key()] : Json());
+    }
+    return;
+  }
+  std::printf("%-44s %16s %16s\n", name.c_str(), a.dump().c_str(),
+              b.dump().c_str());
+}
+
+int Compare(const std::string& first, const std::string& second) {
+  const Json a = Json::parse(std::ifstream(first), nullptr, false);
+  const Json b = Json::parse(std::ifstream(second), nullptr, false);
+  if (a.is_discarded() || b.is_discarded()) {
+    std::fputs("A report cannot be read.\n", stderr);
+    return ToInt(ExitCode::kFailed);
+  }
+  PrintBoth("", a, b);
+  return 0;
+}
+
+int Main(int argc, const char** argv) {
+  int exit_code = 0;
+  auto line =
+      ReadCommandLine(argc, argv, kUsage, table::kLoadSettings, {}, &exit_code);
+  if (!line) {
+    return exit_code;
+  }
+  const auto& arguments = line->arguments;
+  if (arguments.size() == 1 && arguments[0] == "run") {
+    return RunLoad(line->settings);
+  }
+  if (arguments.size() == 3 && arguments[0] == "compare") {
+    return Compare(arguments[1], arguments[2]);
+  }
+  std::fputs("Unknown command; see --help.\n", stderr);
+  return ToInt(ExitCode::kUsage);
+}
+
+}  // namespace
+}  // namespace bw
+
+int main(int argc, const char** argv) {
+  return bw::Main(argc, argv);
+}
--- /dev/null
+++ b/src/load.cc
@@ -0,0 +1,195 @@
+#include <algorithm>
+#include <cmath>
+#include <random>
+#include <set>
+
+#include "load_func.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+constexpr uint64_t kSampleMs = 50;
+
+/// Draws one kind of arrivals as a Poisson process.
+class Planner {
+ public:
+  Planner(const Settings& settings, const std::vector<LoadTeam>& teams)
+      : settings_(settings),
+        teams_(teams),
+        random_(static_cast<uint32_t>(settings.Int("load.seed"))) {
+    std::vector<double> weights;
+    for (const auto& it : teams) {
+      weights.push_back(static_cast<double>(it.weight));
+    }
+    pick_team_ =
+        std::discrete_distribution<size_t>(weights.begin(), weights.end());
+  }
+
+  void Draw(bool jobs, std::vector<Arrival>* out) {
+    const auto rate = static_cast<double>(
+        settings_.Int(jobs ? "load.jobs_per_s" : "load.requests_per_s"));
+    const auto length = static_cast<double>(settings_.Int("load.seconds"));
+    if (rate <= 0 || teams_.empty()) {
+      return;
+    }
+    std::exponential_distribution<double> gap(rate);
+    for (double at = gap(random_); at < length; at += gap(random_)) {
+      out->push_back(jobs ? Job(at) : Request(at));
+    }
+  }
+
+ private:
+  Arrival Request(double at) {
+    Arrival out;
+    out.at_s = at;
+    out.team = pick_team_(random_);
+    out.run_ms = Around("load.request_ms");
+    out.name = "q" + std::to_string(++last_);
+    return out;
+  }
+
+  Arrival Job(double at) {
+    Arrival out;
+    out.at_s = at;
+    out.team = pick_team_(random_);
+    out.is_job = true;
+    out.is_gang = static_cast<int64_t>(random_() % 100) <
+                  settings_.Int("load.gang_percent");
+    out.run_ms = std::max<uint64_t>(1, Around("load.job_ms"));
+    out.tasks = static_cast<uint32_t>(settings_.Int("load.job_tasks"));
+    const double factor = std::exp2(Unit() * 2 - 1);
+    out.millicores = std::max<uint64_t>(
+        1, static_cast<uint64_t>(
+               static_cast<double>(settings_.Int("load.job_millicores")) *
+               factor));
+    out.name = "j" + std::to_string(++last_);
+    return out;
+  }
+
+  double Unit() {
+    return std::uniform_real_distribution<double>(0, 1)(random_);
+  }
+
+  /// Exponentially distributed around the setting.
+  uint64_t Around(const char* setting) {
+    const auto mean = static_cast<double>(settings_.Int(setting));
+    return static_cast<uint64_t>(-std::log(1 - Unit()) * mean);
+  }
+
+  const Settings& settings_;
+  const std::vector<LoadTeam>& teams_;
+  std::mt19937 random_;
+  std::discrete_distribution<size_t> pick_team_;
+  uint64_t last_ = 0;
+};
+
+std::pair<uint64_t, uint64_t> Bounds(const std::vector<UnitSpan>& spans) {
+  uint64_t first = UINT64_MAX;
+  uint64_t last = 0;
+  for (const auto& it : spans) {
+    first = std::min(first, it.begin_ms);
+    last = std::max(last, it.begin_ms);
+  }
+  return {first, last};
+}
+
+bool RunsAt(const UnitSpan& it, uint64_t ms) {
+  return it.begin_ms <= ms && (it.end_ms == 0 || ms < it.end_ms);
+}
+
+}  // namespace
+
+std::vector<LoadTeam> ReadTeams(const std::vector<std::string>& texts) {
+  std::vector<LoadTeam> out;
+  for (const auto& it : texts) {
+    const auto parts = SplitList(it, ':');
+    if (parts.size() == 4) {
+      out.push_back({parts[0], parts[1],
+                     std::strtoull(parts[2].c_str(), nullptr, 10),
+                     std::strtoull(parts[3].c_str(), nullptr, 10)});
+    }
+  }
+  return out;
+}
+
+std::vector<Arrival> PlanArrivals(const Settings& settings,
+                                  const std::vector<LoadTeam>& teams) {
+  std::vector<Arrival> out;
+  Planner planner(settings, teams);
+  planner.Draw(/*jobs=*/false, &out);
+  planner.Draw(/*jobs=*/true, &out);
+  std::sort(out.begin(), out.end(),
+            [](const Arrival& a, const Arrival& b) { return a.at_s < b.at_s; });
+  return out;
+}
+
+double Packing(const std::vector<UnitSpan>& tasks, uint64_t millicores) {
+  const auto [first, last] = Bounds(tasks);
+  double sum = 0;
+  int samples = 0;
+  for (uint64_t ms = first; ms < last; ms += kSampleMs) {
+    uint64_t used = 0;
+    std::set<size_t> backends;
+    for (const auto& it : tasks) {
+      if (RunsAt(it, ms)) {
+        used += it.units;
+        backends.insert(it.backend);
+      }
+    }
+    if (!backends.empty()) {
+      sum += static_cast<double>(used) /
+             static_cast<double>(backends.size() * millicores);
+      ++samples;
+    }
+  }
+  return samples == 0 ? 0 : sum / samples;
+}
+
+double ShareError(const std::vector<UnitSpan>& spans,
+                  const std::vector<LoadTeam>& teams,
+                  uint64_t full) {
+  double shares = 0;
+  for (const auto& it : teams) {
+    shares += static_cast<double>(it.share);
+  }
+  const auto [first, last] = Bounds(spans);
+  double sum = 0;
+  int samples = 0;
+  for (uint64_t ms = first; ms < last; ms += kSampleMs) {
+    std::map<std::string, double> used;
+    double total = 0;
+    for (const auto& it : spans) {
+      if (RunsAt(it, ms)) {
+        used[it.team] += static_cast<double>(it.units);
+        total += static_cast<double>(it.units);
+      }
+    }
+    if (total < static_cast<double>(full) || total == 0) {
+      continue;
+    }
+    double error = 0;
+    for (const auto& it : teams) {
+      error += std::abs(used[it.name] / total -
+                        static_cast<double>(it.share) / shares);
+    }
+    sum += error / 2;
+    ++samples;
+  }
+  return samples == 0 ? -1 : sum / samples;
+}
+
+double Quantile(std::vector<double> samples, double part) {
+  if (samples.empty()) {
+    return 0;
+  }
+  const auto n =
+      std::min(samples.size() - 1,
+               static_cast<size_t>(part * static_cast<double>(samples.size())));
+  std::nth_element(samples.begin(),
+                   samples.begin() + static_cast<std::ptrdiff_t>(n),
+                   samples.end());
+  return samples[n];
+}
+
+}  // namespace bw
