--- /dev/null
+++ b/bench/bw_bench.cc
@@ -0,0 +1,249 @@
+// bw_bench: slopes for docs/CAPACITY.md, on one machine.
+//
+//   bw_bench place                  the placing decision, 50 to 1,000 workers
+//   bw_bench board                  whole placements a second of one shard
+//   bw_bench fold                   the control stream: cost, size, memory
+//   bw_bench latency GATE RUNNER    added latency against direct calls
+
+#include <malloc.h>
+
+#include <cstdio>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+#include "../src/job_board_base.h"
+#include "../src/load_func.h"
+#include "../src/net/http_client.h"
+#include "../src/place_func.h"
+#include "../src/request_board_base.h"
+#include "../test/support/fake_port.h"
+
+namespace bw {
+namespace {
+
+using Json = nlohmann::json;
+using test::Answered;
+using test::FakePort;
+
+constexpr ShardId kShard{0};
+constexpr uint64_t kWorkerMillicores = 32'000;
+constexpr int kWorkerSizes[] = {50, 100, 250, 500, 1000};
+
+double MicrosSince(Time since) {
+  return static_cast<double>((BootClock::now() - since).count());
+}
+
+double MemoryMb() {
+  return static_cast<double>(mallinfo2().uordblks) / 1e6;
+}
+
+int BenchPlace() {
+  std::puts("workers  strategy     us per decision");
+  for (const int n : kWorkerSizes) {
+    std::vector<WorkerRoom> rooms(n);
+    for (int i = 0; i < n; ++i) {
+      rooms[i].total = {kWorkerMillicores, 64'000, 0};
+      rooms[i].free = {static_cast<uint64_t>(1000 + i % 31'000), 32'000, 0};
+      rooms[i].rack = static_cast<uint32_t>(i / 6);
+    }
+    for (const char* name : {"best_fit", "spread", "first_fit"}) {
+      constexpr int kRounds = 2000;
+      const Time start = BootClock::now();
+      size_t sum = 0;
+      for (int i = 0; i < kRounds; ++i) {
+        sum +=
+            PickWorker(rooms, {1000, 100, 0}, *FindStrategy(name)).value_or(0);
+      }
+      std::printf("%7d  %-10s  %8.2f   (checksum %zu)\n", n, name,
+                  MicrosSince(start) / kRounds, sum);
+    }
+  }
+  return 0;
+}
+
+/// A job board with `workers` known and idle workers.
+struct JobBench {
+  FakePort port;
+  TeamUsage usage{kShard};
+  JobBoard board{kShard, &port, &usage, milliseconds(10'000)};
+
+  explicit JobBench(int workers) {
+    port.Publish(6, 1'000'000, 100'000);
+    board.OnGained(false);
+    std::vector<platform::ListedInstance> listed;
+    for (int n = 0; n < workers; ++n) {
+      listed.push_back(
+          test::MakeWorker("w" + std::to_string(n), kWorkerMillicores, n / 6));
+    }
+    board.OnInstances(listed);
+    board.Tick();
+    while (port.Answer("/tasks", Answered(200, R"({"now_ms":1,"tasks":[]})"))) {
+    }
+  }
+
+  void Submit(int number, uint32_t tasks) {
+    JobSpec spec;
+    spec.id = JobId("j0." + std::to_string(number));
+    spec.origin = port.Origin(number % 6);
+    spec.tasks = tasks;
+    spec.need = {500, 100, 0};
+    board.Submit(spec, port.now + milliseconds(1000), [](WorkOutcome) {});
+    board.OnEvent(port.appended.back());
+  }
+};
+
+int BenchBoard() {
+  std::puts(
+      "workers  single-task jobs/s  tasks/s in jobs of 20  MB/1000 tasks");
+  for (const int n : kWorkerSizes) {
+    constexpr int kJobs = 1000;
+    JobBench single(n);
+    const double before = MemoryMb();
+    Time start = BootClock::now();
+    for (int i = 0; i < kJobs; ++i) {
+      single.Submit(i, 1);
+    }
+    const double single_us = MicrosSince(start);
+    const double memory = MemoryMb() - before;
+    JobBench wide(n);
+    start = BootClock::now();
+    for (int i = 0; i < kJobs / 20; ++i) {
+      wide.Submit(i, 20);
+    }
+    const double wide_us = MicrosSince(start);
+    std::printf("%7d  %18.0f  %21.0f  %13.2f\n", n, kJobs * 1e6 / single_us,
+                kJobs * 1e6 / wide_us, memory);
+  }
+  return 0;
+}
+
+Member MakeMember(int n, int zones) {
+  return {InstanceId("e" + std::to_string(n)), 1,
+          ZoneId("z" + std::to_string(n % zones)), "127.0.0.1:1", 0};
+}
+
+int BenchFold() {
+  std::puts(
+      "teams zones shards  change us  move us  snapshot KB  write us  read us"
+      "  MB");
+  struct Size {
+    int teams;
+    int zones;
+    int shards;
+  };
+  for (const Size size : {Size{6, 4, 4}, Size{55, 9, 36}, Size{110, 18, 72},
+                          Size{220, 18, 144}}) {
+    const double before = MemoryMb();
+    ControlState state;
+    std::string zones;
+    for (int n = 0; n < size.zones; ++n) {
+      zones += (n == 0 ? "z" : ",z") + std::to_string(n);
+    }
+    std::vector<ObjectChange> changes = {
+        {"fleet/fleet", 0,
+         Json{{"zones", zones}, {"shards_per_zone", size.shards / size.zones}}
+             .dump()},
+        {"template/t", 0,
+         R"({"keys":"$keys","upper_limit":"$limit","queue.now.priority":"9",)"
+         R"("queue.batch.strategy":"best_fit","queue.services.priority":"6"})"}};
+    const auto account = [](int n, int limit) {
+      return Json{{"template", "t"},
+                  {"limit", std::to_string(limit)},
+                  {"keys", HashKey("k" + std::to_string(n))}}
+          .dump();
+    };
+    for (int n = 0; n < size.teams; ++n) {
+      changes.push_back({"account/t" + std::to_string(n), 0, account(n, 1000)});
+    }
+    ApplyRecord(&state, 0, ChangeRecord("first", "op", changes));
+    for (int n = 0; n < size.shards; ++n) {
+      ApplyRecord(
+          &state, state.version,
+          JoinRecord("j" + std::to_string(n), MakeMember(n, size.zones)));
+    }
+    constexpr int kRounds = 200;
+    Time start = BootClock::now();
+    for (int n = 0; n < kRounds; ++n) {
+      const std::string name = "account/t" + std::to_string(n % size.teams);
+      ApplyRecord(&state, state.version,
+                  ChangeRecord("c" + std::to_string(n), "op",
+                               {{name, state.objects.at(name).version,
+                                 account(n % size.teams, 1000 + n)}}));
+    }
+    const double change_us = MicrosSince(start) / kRounds;
+    start = BootClock::now();
+    for (int n = 0; n < kRounds; ++n) {
+      ApplyRecord(&state, state.version,
+                  MoveRecord("m" + std::to_string(n),
+                             {TeamId("t0"), ShardId{0}, ShardId{1}, 1,
+                              state.shards[0].since}));
+    }
+    const double move_us = MicrosSince(start) / kRounds;
+    const double memory = MemoryMb() - before;
+    start = BootClock::now();
+    const std::string text = WriteSnapshot(state);
+    const double write_us = MicrosSince(start);
+    start = BootClock::now();
+    const bool same = ReadSnapshot(text) == state;
+    std::printf("%5d %5d %6d  %9.0f  %7.0f  %11.1f  %8.0f  %7.0f  %4.2f%s\n",
+                size.teams, size.zones, size.shards, change_us, move_us,
+                static_cast<double>(text.size()) / 1000, write_us,
+                MicrosSince(start), memory, same ? "" : "  NOT THE SAME");
+  }
+  return 0;
+}
+
+/// One call after the other, direct and through the gate in turn.
+int BenchLatency(const std::string& gate, const std::string& runner) {
+  constexpr int kCalls = 3000;
+  std::vector<double> direct;
+  std::vector<double> through;
+  for (int n = 0; n < kCalls; ++n) {
+    for (const bool is_direct : {true, false}) {
+      net::HttpCall call;
+      call.method = "POST";
+      call.body = "ms=0 " + std::to_string(n);
+      call.url = is_direct ? runner + "/run" : gate + "/v1/requests?queue=now";
+      call.headers = {{"Bw-Key", "demo-norte"},
+                      {"Bw-Request", "bench:" + std::to_string(n)}};
+      const Time start = BootClock::now();
+      const auto result = net::CallAndWait(call);
+      if (!result.Ok()) {
+        std::fprintf(stderr, "call failed: %s\n", result.body.c_str());
+        return 1;
+      }
+      (is_direct ? direct : through).push_back(MicrosSince(start));
+    }
+  }
+  std::puts("path     p50 us   p99 us");
+  std::printf("direct  %7.0f  %7.0f\n", Quantile(direct, 0.5),
+              Quantile(direct, 0.99));
+  std::printf("gate    %7.0f  %7.0f\n", Quantile(through, 0.5),
+              Quantile(through, 0.99));
+  std::printf("added   %7.0f  %7.0f\n",
+              Quantile(through, 0.5) - Quantile(direct, 0.5),
+              Quantile(through, 0.99) - Quantile(direct, 0.99));
+  return 0;
+}
+
+}  // namespace
+}  // namespace bw
+
+int main(int argc, char** argv) {
+  const std::string command = argc > 1 ? argv[1] : "";
+  if (command == "place") {
+    return bw::BenchPlace();
+  }
+  if (command == "board") {
+    return bw::BenchBoard();
+  }
+  if (command == "fold") {
+    return bw::BenchFold();
+  }
+  if (command == "latency" && argc == 4) {
+    return bw::BenchLatency(argv[2], argv[3]);
+  }
+  std::fputs("Usage: bw_bench place | board | fold | latency GATE RUNNER\n",
+             stderr);
+  return 2;
+}
--- a/test/account_test.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <CppUTest/TestHarness.h>
--- a/test/setting_test.cc
+++ b/test/setting_test.cc
@@ -1,1 +1,70 @@
+// Settings are checked as a whole, and every fault is named.
+#include "../src/setting_base.h"
+
 #include <CppUTest/TestHarness.h>
+
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+#include "../src/table/gate_settings.h"
+#include "../src/table/placer_settings.h"
+
+namespace bw::test {
+namespace {
+
+std::vector<SettingFault> FaultsOf(const std::string& text,
+                                   const Overrides& overrides = {}) {
+  char name[] = "/tmp/bwsettings-XXXXXX";
+  close(mkstemp(name));
+  std::ofstream(name) << text;
+  std::vector<SettingFault> faults;
+  Settings::Load(name, table::kGateSettings, overrides, &faults);
+  std::remove(name);
+  return faults;
+}
+
+constexpr const char* kGood =
+    "[instance]\nname=e0\nzone=a\n[platform]\nlog=http://127.0.0.1:1\n"
+    "[gate]\nlisten=127.0.0.1:2\n[status]\nlisten=127.0.0.1:3\n";
+
+}  // namespace
+
+TEST_GROUP(Setting){};
+
+TEST(Setting, GoodFileHasNoFaults) {
+  LONGS_EQUAL(0, FaultsOf(kGood).size());
+}
+
+TEST(Setting, EveryFaultIsNamedWithSectionKeyAndRange) {
+  const auto faults = FaultsOf(
+      "[instance]\nname=e 0\nzone=a\n[platform]\nlog=ftp://x\n"
+      "[gate]\nlisten=nowhere\nmax_open=-1\nmax_run_ms=99999999999999999999\n"
+      "colour=red\nmax_body_bytes=2048\nmax_body_bytes=4096\n"
+      "[status]\nlisten=127.0.0.1:70000\n");
+  LONGS_EQUAL(8, faults.size());
+  bool range_named = false;
+  for (const auto& it : faults) {
+    CHECK(!it.section.empty() && !it.key.empty() && !it.problem.empty());
+    range_named |= it.problem.find("from 1 to 1000000") != std::string::npos;
+  }
+  CHECK(range_named);
+}
+
+TEST(Setting, MissingSettingsAndBadOverridesAreFaults) {
+  LONGS_EQUAL(5, FaultsOf("").size());
+  LONGS_EQUAL(1, FaultsOf(kGood, {"gate.nothing=1"}).size());
+  LONGS_EQUAL(1, FaultsOf(kGood, {"gate.max_open=x"}).size());
+  LONGS_EQUAL(0, FaultsOf(kGood, {"gate.max_open=7"}).size());
+}
+
+TEST(Setting, HelpDescribesEverySetting) {
+  const std::string help = SettingsHelp(table::kPlacerSettings);
+  for (const auto& it : table::kPlacerSettings) {
+    CHECK(help.find(std::string("[") + it.section + "] " + it.key) !=
+          std::string::npos);
+  }
+}
+
+}  // namespace bw::test
--- /dev/null
+++ b/test/support/fake_port.h
@@ -0,0 +1,135 @@
+// Stands in for the process around a shard: a clock that is set by hand, calls
+// that are kept until they are answered, and a log that stores at once.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "../../src/control_func.h"
+#include "../../src/shard_type.h"
+#include "../../src/text_func.h"
+
+namespace bw::test {
+
+/// A call to a backend server that waits for its answer.
+struct PendingCall {
+  net::HttpCall call;
+  std::function<void(net::HttpResult)> done;
+};
+
+class FakePort : public ShardPort {
+ public:
+  FakePort() : events_("test", "a", "test", "") {}
+
+  Time Now() const override { return now; }
+  bool MayAct() const override { return may_act; }
+  bool MayAcceptKeyed() const override { return keys_current; }
+  void Call(net::HttpCall call,
+            bool,
+            std::function<void(net::HttpResult)> done) override {
+    calls.push_back({std::move(call), std::move(done)});
+  }
+  void Append(const JobEvent& event,
+              std::function<void(platform::AppendFate)> done) override {
+    if (append_fate == platform::AppendFate::kStored) {
+      ApplyJobRecord(&jobs, jobs.version, WriteJobEvent(event));
+      appended.push_back(event);
+    }
+    done(append_fate);
+  }
+  void AskAllowance(const TeamId&, uint64_t) override { ++asks; }
+  const ControlState& State() const override { return state; }
+  const JobsState& Jobs() const override { return jobs; }
+  Timeline& Events() override { return events_; }
+  Metrics& Counters() override { return metrics_; }
+
+  /// Publishes one zone and teams "t0".. with the queue "q", whose keys are
+  /// the hashes of "k0"..
+  void Publish(int teams, uint64_t limit, uint64_t max_waiting = 1000) {
+    std::vector<ObjectChange> changes = {
+        {"fleet/fleet", 0, R"({"zones":"a","shards_per_zone":1})"},
+        {"template/t", 0,
+         R"({"keys":"$keys","upper_limit":"$limit","share":"1",)"
+         R"("queue.q.strategy":"best_fit","queue.q.max_waiting":")" +
+             std::to_string(max_waiting) + R"("})"}};
+    for (int n = 0; n < teams; ++n) {
+      changes.push_back({"account/t" + std::to_string(n), 0,
+                         R"({"template":"t","limit":")" +
+                             std::to_string(limit) + R"(","keys":")" +
+                             HashKey("k" + std::to_string(n)) + R"("})"});
+    }
+    ApplyRecord(&state, 0, ChangeRecord("c", "op", changes));
+  }
+
+  WorkOrigin Origin(int team, const std::string& idempotency_key = {}) const {
+    return {TeamId("t" + std::to_string(team)), QueueId("q"),
+            HashKey("k" + std::to_string(team)), idempotency_key};
+  }
+
+  /// Answers the oldest call that asks for `path`. @return False if none does.
+  bool Answer(const std::string& path, net::HttpResult result) {
+    for (auto it = calls.begin(); it != calls.end(); ++it) {
+      if (it->call.url.ends_with(path)) {
+        auto done = std::move(it->done);
+        calls.erase(it);
+        done(std::move(result));
+        return true;
+      }
+    }
+    return false;
+  }
+
+  size_t Waiting(const std::string& path) const {
+    size_t n = 0;
+    for (const auto& it : calls) {
+      n += it.call.url.ends_with(path) ? 1 : 0;
+    }
+    return n;
+  }
+
+  Time now{milliseconds(100'000)};
+  bool may_act = true;
+  bool keys_current = true;
+  platform::AppendFate append_fate = platform::AppendFate::kStored;
+  std::deque<PendingCall> calls;
+  std::vector<JobEvent> appended;
+  ControlState state;
+  JobsState jobs;
+  int asks = 0;
+
+ private:
+  Timeline events_;
+  Metrics metrics_;
+};
+
+inline net::HttpResult Answered(int status, std::string body) {
+  return {net::CallFate::kAnswered, status, std::move(body), "text/plain"};
+}
+
+inline platform::ListedInstance MakeRunner(const std::string& name,
+                                           uint32_t slots) {
+  platform::ListedInstance out;
+  out.name = name;
+  out.kind = platform::InstanceKind::kRunner;
+  out.zone = ZoneId("a");
+  out.address = name;
+  out.slots = slots;
+  return out;
+}
+
+inline platform::ListedInstance MakeWorker(const std::string& name,
+                                           uint64_t millicores,
+                                           uint32_t rack) {
+  platform::ListedInstance out;
+  out.name = name;
+  out.kind = platform::InstanceKind::kWorker;
+  out.zone = ZoneId("a");
+  out.address = name;
+  out.total = {millicores, 64'000, 0};
+  out.rack = rack;
+  return out;
+}
+
+}  // namespace bw::test
--- a/test/timeline_test.cc
+++ b/test/timeline_test.cc
@@ -1,1 +1,46 @@
+// Events survive the way through a line, and clocks never go back.
+#include "../src/timeline_base.h"
+
 #include <CppUTest/TestHarness.h>
+
+#include <sstream>
+
+#include "../src/picture_func.h"
+
+namespace bw::test {
+
+TEST_GROUP(Timeline){};
+
+TEST(Timeline, EventsComeBackFromTheirLines) {
+  Timeline line("e0", "a", "bwgate", "");
+  line.Write(EventKind::kClockGap, "sub\"ject\n\xff", "detail");
+  std::istringstream lines(line.ToLines(0));
+  std::string one;
+  std::getline(lines, one);
+  const auto event = EventFromLine(one);
+  CHECK(event.has_value());
+  CHECK(event->kind == EventKind::kClockGap);
+  STRCMP_EQUAL("detail", event->detail.c_str());
+  CHECK(!EventFromLine("junk").has_value());
+  CHECK(!EventFromLine(R"({"hlc":-1})").has_value());
+}
+
+TEST(Timeline, ClockIsLaterThanAllItHeard) {
+  HybridClock clock;
+  const uint64_t heard = clock.Tick() + (uint64_t{60'000} << 16);
+  clock.Hear(heard);
+  CHECK(clock.Tick() > heard);
+  CHECK(clock.Tick() > heard + 1);
+}
+
+TEST(Timeline, PictureHasALaneForEachProcess) {
+  const std::string picture = DrawTimeline(
+      {{1 << 20, "e0", "a", "bwgate", EventKind::kStarted, "<x>", ""},
+       {1 << 21, "e1", "b", "bwplacer", EventKind::kAuthorityGained, "s", ""}});
+  CHECK(picture.find("a e0 bwgate") != std::string::npos);
+  CHECK(picture.find("b e1 bwplacer") != std::string::npos);
+  CHECK(picture.find("<x>") == std::string::npos);
+  CHECK(DrawTimeline({}).find("</svg>") != std::string::npos);
+}
+
+}  // namespace bw::test
