--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -77,6 +77,9 @@
       restinio::own_io_context(),
       restinio::server_settings_t<Traits>{}
           .address(address.host)
+          .socket_options_setter([](auto& options) {
+            options.set_option(asio::ip::tcp::no_delay{true});
+          })
           .port(address.port)
           .request_handler(std::move(on_request))
           .read_next_http_message_timelimit(options.read_timeout)
