Feature: [Placer] Requests that would wait in vain are refused at once

Cause: at 5x the runners' capacity 7,739 of 12,879 requests waited their 8 s and then expired: true refusals, but late ones. Ruled out: a smaller queue alone; it refuses bursts that would be served. Change: each queue measures its pace while it has a backlog; a request whose expected wait passes its deadline is refused with that wait as Retry-After. A team's own queue counts alone, so no team is refused for another's backlog.

--- a/src/request_board.cc
+++ b/src/request_board.cc
@@ -47,10 +47,10 @@
     : shard_(shard), port_(port), usage_(usage) {}
 
 void RequestBoard::Submit(RequestWork work) {
-  const ErrorCode error = CheckEntry(work);
-  if (error != ErrorCode::kNone) {
-    NoteRefusal(work, error);
-    work.reply({error, 0, {}, {}, kRetryAfterMs, {}});
+  WorkOutcome refusal = CheckEntry(work);
+  if (refusal.error != ErrorCode::kNone) {
+    NoteRefusal(work, refusal.error);
+    work.reply(std::move(refusal));
     return;
   }
   if (work.origin.idempotency_key.empty()) {
@@ -61,23 +61,37 @@
   }
 }
 
-ErrorCode RequestBoard::CheckEntry(const RequestWork& work) {
+/// @return What refuses the request at once, or kNone.
+WorkOutcome RequestBoard::CheckEntry(const RequestWork& work) {
+  const auto refuse = [](ErrorCode error) {
+    return WorkOutcome{error, 0, {}, {}, kRetryAfterMs, {}};
+  };
   if (!port_->MayAct()) {
-    return ErrorCode::kNotOwner;
+    return refuse(ErrorCode::kNotOwner);
   }
   const ControlState& state = port_->State();
   const ErrorCode error =
       CheckOrigin(state, work.origin, port_->MayAcceptKeyed());
+  const Time now = port_->Now();
   if (error != ErrorCode::kNone) {
-    return error;
+    return refuse(error);
   }
-  if (port_->Now() >= work.valid_until) {
-    return ErrorCode::kExpired;
+  if (now >= work.valid_until) {
+    return refuse(ErrorCode::kExpired);
   }
   const auto& queue = waiting_[{work.origin.team, work.origin.queue}];
-  return queue.size() >= PolicyOf(state, work.origin).max_waiting
-             ? ErrorCode::kQueueFull
-             : ErrorCode::kNone;
+  const Duration wait = queue.ExpectedWait(now);
+  const bool hopeless = now + wait >= work.valid_until;
+  if (!hopeless && queue.size() < PolicyOf(state, work.origin).max_waiting) {
+    return refuse(ErrorCode::kNone);
+  }
+  // It would only wait in vain: better the caller knows now.
+  WorkOutcome out = refuse(ErrorCode::kQueueFull);
+  out.retry_after_ms =
+      std::max(kRetryAfterMs,
+               static_cast<uint32_t>(
+                   std::chrono::duration_cast<milliseconds>(wait).count()));
+  return out;
 }
 
 /// @return True if the request is new and its intent has to be recorded.
@@ -143,7 +157,8 @@
 
 void RequestBoard::Enqueue(RequestWork work) {
   port_->Events().Write(EventKind::kRequestAccepted, work.id);
-  waiting_[{work.origin.team, work.origin.queue}].push_back(std::move(work));
+  waiting_[{work.origin.team, work.origin.queue}].Push(std::move(work),
+                                                       port_->Now());
   ++waiting_count_;
 }
 
@@ -203,13 +218,13 @@
 
 /// Ranks queues: urgent first, then the team furthest below its share. Teams
 /// at their limit are passed over and hold nobody up.
-std::deque<RequestWork>* RequestBoard::PickQueue() {
+RequestQueue* RequestBoard::PickQueue() {
   const ControlState& state = port_->State();
-  std::deque<RequestWork>* best = nullptr;
+  RequestQueue* best = nullptr;
   std::pair<int, double> best_rank;
   for (auto& [key, queue] : waiting_) {
     auto account = state.accounts.find(key.first);
-    if (queue.empty() || account == state.accounts.end()) {
+    if (queue.IsEmpty() || account == state.accounts.end()) {
       continue;
     }
     auto policy = account->second.queues.find(key.second);
@@ -254,7 +269,7 @@
   if (queue == nullptr) {
     return false;
   }
-  RequestWork& head = queue->front();
+  const RequestWork& head = queue->Front();
   ErrorCode error = ErrorCode::kNone;
   if (port_->Now() >= head.valid_until) {
     error = ErrorCode::kExpired;
@@ -265,8 +280,7 @@
   if (error == ErrorCode::kNone && runner == nullptr) {
     return false;
   }
-  RequestWork work = std::move(head);
-  queue->pop_front();
+  RequestWork work = queue->Pop();
   --waiting_count_;
   if (error != ErrorCode::kNone) {
     Refuse(&work, error);
@@ -514,17 +528,12 @@
   const Time now = port_->Now();
   std::vector<RequestWork> expired;
   for (auto& it : waiting_) {
-    auto& queue = it.second;
-    for (auto work = queue.begin(); work != queue.end();) {
-      if (now < work->valid_until) {
-        ++work;
-        continue;
-      }
-      expired.push_back(std::move(*work));
-      work = queue.erase(work);
-      --waiting_count_;
+    it.second.Tick(now);
+    for (auto& work : it.second.TakeExpired(now)) {
+      expired.push_back(std::move(work));
     }
   }
+  waiting_count_ -= expired.size();
   for (auto& it : expired) {
     const bool at_limit = usage_->Room(port_->State(), it.origin.team) == 0;
     Refuse(&it, at_limit ? ErrorCode::kOverLimit : ErrorCode::kExpired);
@@ -540,9 +549,8 @@
 
 void RequestBoard::RefuseWaiting(ErrorCode error) {
   for (auto& it : waiting_) {
-    while (!it.second.empty()) {
-      RequestWork work = std::move(it.second.front());
-      it.second.pop_front();
+    while (!it.second.IsEmpty()) {
+      RequestWork work = it.second.Pop();
       --waiting_count_;
       Refuse(&work, error);
     }
--- a/src/request_board_base.h
+++ b/src/request_board_base.h
@@ -2,7 +2,6 @@
 // slots, and the outcome of every request.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "platform/instance_list.h"
+#include "request_queue_base.h"
 #include "shard_type.h"
 #include "usage_base.h"
 #include "work_type.h"
@@ -92,7 +92,7 @@
     std::vector<OutcomeReply> extra;  ///< Callers who came back.
   };
 
-  ErrorCode CheckEntry(const RequestWork& work);
+  WorkOutcome CheckEntry(const RequestWork& work);
   void NoteRefusal(const RequestWork& work, ErrorCode error);
   bool SubmitKeyed(RequestWork* work);
   bool JoinKeyed(Keyed* keyed, RequestWork* work, uint64_t body_hash);
@@ -101,7 +101,7 @@
   void End(RequestWork* work, WorkOutcome outcome);
   void Refuse(RequestWork* work, ErrorCode error, std::string detail = {});
   bool SendNext();
-  std::deque<RequestWork>* PickQueue();
+  RequestQueue* PickQueue();
   Runner* PickRunner();
   void SendTo(Runner* runner, RequestWork work);
   void OnAnswer(const std::string& runner,
@@ -125,7 +125,7 @@
   ShardPort* const port_;
   TeamUsage* const usage_;
   std::map<std::string, Runner> runners_;
-  std::map<QueueKey, std::deque<RequestWork>> waiting_;
+  std::map<QueueKey, RequestQueue> waiting_;
   std::map<IdempotencyId, Keyed> keyed_;
   size_t waiting_count_ = 0;
   size_t in_flight_ = 0;
--- a/test/request_board_test.cc
+++ b/test/request_board_test.cc
@@ -119,6 +119,28 @@
   CHECK(bench.outcomes[0].retry_after_ms > 0);
 }
 
+TEST(RequestBoard, WaitingInVainIsRefusedAtOnce) {
+  Bench bench;
+  for (int n = 0; n < 60; ++n) {
+    bench.Submit(std::to_string(n), 0);
+  }
+  LONGS_EQUAL(0, bench.outcomes.size());
+  // Two requests leave in each half second: 50 more would take 12 s.
+  for (int n = 0; n < 4; ++n) {
+    for (int i = 0; i < 2; ++i) {
+      bench.port.Answer("/run", Answered(200, "ok"));
+    }
+    bench.Pass(500);
+  }
+  LONGS_EQUAL(8, bench.outcomes.size());
+  bench.Submit("late", 0);
+  LONGS_EQUAL(9, bench.outcomes.size());
+  CHECK(bench.outcomes[8].error == ErrorCode::kQueueFull);
+  CHECK(bench.outcomes[8].retry_after_ms > 5000);
+  bench.Submit("other team", 1);  // It waits behind nobody of its own.
+  LONGS_EQUAL(9, bench.outcomes.size());
+}
+
 TEST(RequestBoard, IdempotencyKeyGivesTheFirstAnswerAgain) {
   Bench bench;
   bench.Submit("1", 0, "key");
