--- a/src/bin/bwgate.cc
+++ b/src/bin/bwgate.cc
@@ -9,6 +9,8 @@
 namespace bw {
 namespace {
 
+constexpr size_t kReadBeyond = 4;
+
 /// The service "callers": the HTTP server in front of the gate.
 class CallerDoor : public Service {
  public:
@@ -39,6 +41,8 @@
   out.log_wait = milliseconds(settings.Int("platform.log_wait_ms"));
   out.max_run = milliseconds(settings.Int("gate.max_run_ms"));
   out.drain_grace = milliseconds(settings.Int("gate.drain_grace_ms"));
+  out.max_body_bytes =
+      static_cast<size_t>(settings.Int("gate.max_body_bytes"));
   out.max_open = static_cast<size_t>(settings.Int("gate.max_open"));
   out.links = ReadLinks(settings.List("mesh.links"));
   out.seeds = settings.List("mesh.seeds");
@@ -66,8 +70,9 @@
   kernel.Add("gate", std::move(gate));
   net::HttpServerOptions door;
   door.listen = settings.Text("gate.listen");
+  // Somewhat too large bodies are read, so that their callers get an answer.
   door.max_body_bytes =
-      static_cast<size_t>(settings.Int("gate.max_body_bytes"));
+      static_cast<size_t>(settings.Int("gate.max_body_bytes")) * kReadBeyond;
   kernel.Add("callers", std::make_unique<CallerDoor>(door, it));
   kernel.Add("status",
              std::make_unique<StatusPages>(
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -165,6 +165,8 @@
     }
   } else if (request.method != "POST") {
     return refuse(ErrorCode::kMethodNotAllowed);
+  } else if (request.body.size() > options_.max_body_bytes) {
+    return refuse(ErrorCode::kTooLarge);
   } else if (is_job) {
     call->kind = CallKind::kJob;
     const Failure failure = Handle(
--- a/src/placer.cc
+++ b/src/placer.cc
@@ -286,6 +286,9 @@
   ForgetOldCalls();
   if (now >= next_status_) {
     next_status_ = now + kStatusEvery;
+    for (auto& it : shards_) {
+      it.second->usage.NotePeaks(now);
+    }
     UpdateStatus();
   }
   if (draining_) {
--- a/src/placer_mesh.cc
+++ b/src/placer_mesh.cc
@@ -341,7 +341,7 @@
     return;
   }
   const TeamId team(in.team());
-  const uint64_t room = shard->usage.Room(*state_, team);
+  const uint64_t room = shard->usage.Spare(*state_, team);
   const bool wants_it_too =
       shard->requests.Waiting() > 0 || shard->jobs.Waiting() > 0;
   const uint64_t spare = wants_it_too ? room / 2 : room;
--- a/src/usage_base.h
+++ b/src/usage_base.h
@@ -1,11 +1,13 @@
 // Units each team has running on one shard, against the shard's allowance.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "clock.h"
 #include "control_type.h"
 
 namespace bw {
@@ -46,6 +48,40 @@
                : it->second[n];
   }
 
+  /// Takes note of what runs, for RecentPeak. Call several times a second.
+  void NotePeaks(Time now) {
+    for (const auto& it : running_) {
+      Peak& peak = peaks_[it.first];
+      if (it.second >= peak.units || now - peak.at > kPeakKept) {
+        peak = {it.second, now};
+      }
+    }
+    std::erase_if(
+        peaks_, [&](const auto& it) { return now - it.second.at > kPeakKept; });
+  }
+
+  /// @return The most units of the team that ran within the last seconds.
+  uint64_t RecentPeak(const TeamId& team) const {
+    auto it = peaks_.find(team);
+    return it == peaks_.end() ? 0 : it->second.units;
+  }
+
+  /// Units that may be given away: a shard that used its even part lately
+  /// keeps it, so that a cut does not find it with nothing.
+  uint64_t Spare(const ControlState& state, const TeamId& team) const {
+    const uint64_t room = Room(state, team);
+    auto account = state.accounts.find(team);
+    if (account == state.accounts.end() || state.shards.empty()) {
+      return 0;
+    }
+    const uint64_t even = account->second.upper_limit / state.shards.size();
+    const uint64_t keep = std::min(RecentPeak(team), even);
+    const uint64_t mine =
+        Allowance(state, team) -
+        std::min(Allowance(state, team), PledgedBy(team) + keep);
+    return std::min(room, mine);
+  }
+
   /// Sets units aside that a move record is giving away.
   void Pledge(const std::string& move, const TeamId& team, uint64_t units) {
     pledges_[move] = {team, units};
@@ -85,7 +121,14 @@
     return sum;
   }
 
+  struct Peak {
+    uint64_t units = 0;
+    Time at = kNever;
+  };
+  static constexpr Duration kPeakKept = milliseconds(5000);
+
   const ShardId shard_;
+  std::map<TeamId, Peak> peaks_;
   uint64_t unseen_on_runners_ = 0;
   uint64_t unseen_on_workers_ = 0;
   std::map<TeamId, uint64_t> running_;
--- a/test/job_test.cc
+++ b/test/job_test.cc
@@ -266,7 +266,8 @@
     STRCMP_EQUAL("application/problem+json", answer.content_type.c_str());
   }
   const auto large = fleet.Post(0, kJobs, std::string(5000, 'x'), "perchas");
-  CHECK(large.status != 200);
+  LONGS_EQUAL(413, large.status);
+  CHECK(large.body.find("too_large") != std::string::npos);
   LONGS_EQUAL(404, fleet.Get(0, "/v1/jobs/j0.nothere", "perchas").status);
   LONGS_EQUAL(404, fleet.Get(0, "/v1/jobs/rubbish", "perchas").status);
   LONGS_EQUAL(404, fleet.Get(0, "/nothing", "perchas").status);
--- /dev/null
+++ b/test/usage_test.cc
@@ -0,0 +1,32 @@
+// Units of a team on one shard, and what it may give away.
+#include "../src/usage_base.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace bw::test {
+
+TEST_GROUP(Usage){};
+
+TEST(Usage, ShardThatUsedItsEvenPartLatelyKeepsIt) {
+  ControlState state;
+  const TeamId team("t");
+  state.shards.resize(2);
+  state.accounts[team].upper_limit = 10;
+  state.allowances[team] = {8, 2};
+  TeamUsage usage(ShardId{0});
+  const Time now(milliseconds(50'000));
+  LONGS_EQUAL(8, usage.Spare(state, team));
+  usage.Add(team, 6);
+  usage.NotePeaks(now);
+  usage.Remove(team, 6);
+  usage.NotePeaks(now + milliseconds(1000));
+  LONGS_EQUAL(3, usage.Spare(state, team));  // Its even part is five.
+  usage.Pledge("m", team, 3);
+  LONGS_EQUAL(0, usage.Spare(state, team));
+  LONGS_EQUAL(5, usage.Room(state, team));
+  usage.EndPledge("m");
+  usage.NotePeaks(now + milliseconds(7000));
+  LONGS_EQUAL(8, usage.Spare(state, team));
+}
+
+}  // namespace bw::test
