Feature: [Placer] Urgent work makes batch tasks give way; gangs get reservations

Cause: an urgent job waited for any batch task to end, and a gang could wait for good behind a stream of small jobs.

--- a/bench/bw_bench.cc
+++ b/bench/bw_bench.cc
@@ -15,6 +15,7 @@
 #include "../src/load_func.h"
 #include "../src/net/http_client.h"
 #include "../src/place_func.h"
+#include "../src/process_func.h"
 #include "../src/request_board_base.h"
 #include "../test/support/fake_port.h"
 
@@ -71,6 +72,7 @@
     port.Publish(6, 1'000'000, 100'000);
     board.OnGained(false);
     std::vector<platform::ListedInstance> listed;
+    listed.reserve(workers);
     for (int n = 0; n < workers; ++n) {
       listed.push_back(
           test::MakeWorker("w" + std::to_string(n), kWorkerMillicores, n / 6));
@@ -226,24 +228,28 @@
   return 0;
 }
 
-}  // namespace
-}  // namespace bw
-
-int main(int argc, char** argv) {
+int Main(int argc, const char** argv) {
   const std::string command = argc > 1 ? argv[1] : "";
   if (command == "place") {
-    return bw::BenchPlace();
+    return BenchPlace();
   }
   if (command == "board") {
-    return bw::BenchBoard();
+    return BenchBoard();
   }
   if (command == "fold") {
-    return bw::BenchFold();
+    return BenchFold();
   }
   if (command == "latency" && argc == 4) {
-    return bw::BenchLatency(argv[2], argv[3]);
+    return BenchLatency(argv[2], argv[3]);
   }
   std::fputs("Usage: bw_bench place | board | fold | latency GATE RUNNER\n",
              stderr);
-  return 2;
+  return ToInt(ExitCode::kUsage);
+}
+
+}  // namespace
+}  // namespace bw
+
+int main(int argc, const char** argv) {
+  return bw::RunMain(bw::Main, argc, argv);
 }
--- a/src/bin/bwgate.cc
+++ b/src/bin/bwgate.cc
@@ -41,8 +41,7 @@
   out.log_wait = milliseconds(settings.Int("platform.log_wait_ms"));
   out.max_run = milliseconds(settings.Int("gate.max_run_ms"));
   out.drain_grace = milliseconds(settings.Int("gate.drain_grace_ms"));
-  out.max_body_bytes =
-      static_cast<size_t>(settings.Int("gate.max_body_bytes"));
+  out.max_body_bytes = static_cast<size_t>(settings.Int("gate.max_body_bytes"));
   out.max_open = static_cast<size_t>(settings.Int("gate.max_open"));
   out.links = ReadLinks(settings.List("mesh.links"));
   out.seeds = settings.List("mesh.seeds");
@@ -87,5 +86,5 @@
 }  // namespace bw
 
 int main(int argc, const char** argv) {
-  return bw::Main(argc, argv);
+  return bw::RunMain(bw::Main, argc, argv);
 }
--- a/src/fake/bwfakeproxy.cc
+++ b/src/fake/bwfakeproxy.cc
@@ -298,9 +298,5 @@
 }  // namespace bw::fake
 
 int main(int argc, const char** argv) {
-  try {
-    return bw::fake::Main(argc, argv);
-  } catch (const std::exception&) {
-    return bw::ToInt(bw::ExitCode::kFailed);
-  }
+  return bw::RunMain(bw::fake::Main, argc, argv);
 }
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -31,7 +31,7 @@
   milliseconds max_run{30'000};    ///< Longest run of one request.
   milliseconds drain_grace{1000};  ///< The balancer notices within this.
   size_t max_body_bytes = 1 << 20;
-  size_t max_open = 10'000;        ///< Callers served at once.
+  size_t max_open = 10'000;  ///< Callers served at once.
   std::map<std::string, std::string> links;
   std::vector<std::string> seeds;
 };
--- a/src/job_board.cc
+++ b/src/job_board.cc
@@ -307,13 +307,9 @@
     LiveJob* job = FindJob(id);
     auto account = state.accounts.find(job->spec.origin.team);
     const bool held = now < job->hold_until || (job->inherited && !may_restart);
-    if (account != state.accounts.end() && !held) {
-      auto queue = account->second.queues.find(job->spec.origin.queue);
-      const int priority = queue == account->second.queues.end()
-                               ? 0
-                               : static_cast<int>(queue->second.priority);
+    if (account != state.accounts.end() && !held && !IsHeldFor(*job, now)) {
       order.emplace(
-          -priority,
+          -PriorityOf(job->spec),
           static_cast<double>(usage_->Running(job->spec.origin.team)) /
               static_cast<double>(account->second.share),
           job->accepted, id);
@@ -325,7 +321,12 @@
     if (placed >= kMaxPlacedPerPump) {
       return;
     }
-    PlaceJob(FindJob(std::get<JobId>(it)), &placed);
+    LiveJob* job = FindJob(std::get<JobId>(it));
+    if (PlaceJob(job, &placed)) {
+      job->first_tried = kNever;
+    } else {
+      NoteNoRoom(job, now);
+    }
   }
 }
 
@@ -488,6 +489,7 @@
   entry.not_after_ms =
       worker.clock_ms + static_cast<uint64_t>((since + kActionTime).count());
   task.state = TaskState::kSent;
+  task.preempted = false;
   worker.lease_sent = std::max(worker.lease_sent, port_->Now() + kActionTime);
   platform::WorkerStart start{
       TaskName(key.first, key.second),
@@ -726,9 +728,15 @@
     EndTask(*key, true);
     return;
   }
-  if (!job->cancelled) {
+  if (!job->cancelled && !task.preempted) {
     NoteWorkerFailure(worker, job);
   }
+  if (task.preempted && !job->cancelled) {
+    task.preempted = false;
+    task.state = TaskState::kWaiting;
+    waiting_.insert(*key);
+    return;
+  }
   const bool give_up =
       job->cancelled || !job->spec.restart || job->failures >= kJobFailures;
   if (give_up) {
--- a/src/job_board_base.h
+++ b/src/job_board_base.h
@@ -63,6 +63,7 @@
     TaskState state = TaskState::kWaiting;
     std::string worker;  ///< Where it is reserved; empty if nowhere.
     Time changed = kNever;
+    bool preempted = false;  ///< Being stopped to make room.
   };
   struct LiveJob {
     JobSpec spec;
@@ -72,7 +73,8 @@
     bool cancelled = false;
     bool inherited = false;  ///< A former owner may have started tasks.
     Time accepted = kNever;
-    Time hold_until = kNever;  ///< After the log refused a start record.
+    Time first_tried = kNever;  ///< When it first found no room.
+    Time hold_until = kNever;   ///< After the log refused a start record.
   };
   using TaskKey = std::pair<JobId, uint32_t>;
   struct OnWorker {
@@ -108,6 +110,16 @@
   void EraseIfEnded(const JobId& id);
   std::vector<WorkerRoom> Rooms(const LiveJob& job,
                                 std::vector<Worker*>* workers);
+  int PriorityOf(const JobSpec& spec) const;
+  bool IsHeldFor(const LiveJob& job, Time now) const;
+  void NoteNoRoom(LiveJob* job, Time now);
+  void MakeRoom(LiveJob* job);
+  bool MayBePreempted(const TaskKey& key, int priority) const;
+  std::vector<TaskKey> FindVictims(const Worker& worker,
+                                   const Resources& need,
+                                   int priority) const;
+  bool RoomIsComing(const Worker& worker, const Resources& need) const;
+  void Preempt(Worker* worker, const TaskKey& key);
   bool PlaceJob(LiveJob* job, uint32_t* placed);
   bool PlaceTasks(LiveJob* job,
                   const std::vector<uint32_t>& wanted,
@@ -147,6 +159,8 @@
   const Duration lease_;
   Time gained_ = kNever;
   bool inherits_ = false;  ///< Until the first list after the take-over.
+  JobId reserved_for_;     ///< Gang for which room is kept.
+  Time reserved_until_ = kNever;
   std::map<std::string, Worker> workers_;
   std::map<JobId, LiveJob> jobs_;
   std::set<TaskKey> waiting_;
--- a/src/load.cc
+++ b/src/load.cc
@@ -19,6 +19,7 @@
         teams_(teams),
         random_(static_cast<uint32_t>(settings.Int("load.seed"))) {
     std::vector<double> weights;
+    weights.reserve(teams.size());
     for (const auto& it : teams) {
       weights.push_back(static_cast<double>(it.weight));
     }
--- a/src/placer.cc
+++ b/src/placer.cc
@@ -126,7 +126,9 @@
                            member.zone.value);
     }
   }
-  for (const auto& [id, member] : before.members) {
+  for (const auto& gone : before.members) {
+    const InstanceId& id = gone.first;
+    const Member& member = gone.second;
     if (!now.members.contains(id)) {
       const bool evicted = std::any_of(
           now.shards.begin(), now.shards.end(), [&](const ShardOwner& it) {
--- a/src/process.cc
+++ b/src/process.cc
@@ -149,6 +149,15 @@
   return out;
 }
 
+int RunMain(int (*main)(int, const char**), int argc, const char** argv) {
+  try {
+    return main(argc, argv);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "Ended by a fault: %s\n", e.what());
+    return ToInt(ExitCode::kFailed);
+  }
+}
+
 void BlockSignals() {
   sigset_t all = StopSignals();
   sigaddset(&all, SIGHUP);
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -39,6 +39,10 @@
                                            std::vector<ExtraOption> extra,
                                            int* exit_code);
 
+/// Runs a program's main function. @return Its exit code, or kFailed if an
+/// exception escaped from it.
+int RunMain(int (*main)(int, const char**), int argc, const char** argv);
+
 /// Blocks SIGTERM, SIGINT and SIGHUP for all threads. Call before any thread
 /// is started.
 void BlockSignals();
--- a/src/request_board.cc
+++ b/src/request_board.cc
@@ -157,8 +157,8 @@
 
 void RequestBoard::Enqueue(RequestWork work) {
   port_->Events().Write(EventKind::kRequestAccepted, work.id);
-  waiting_[{work.origin.team, work.origin.queue}].Push(std::move(work),
-                                                       port_->Now());
+  RequestQueue& queue = waiting_[{work.origin.team, work.origin.queue}];
+  queue.Push(std::move(work), port_->Now());
   ++waiting_count_;
 }
 
--- a/src/table/events.h
+++ b/src/table/events.h
@@ -33,6 +33,7 @@
                    "backend_quarantined",
                    "clock_gap",
                    "zone_cut",
-                   "zone_healed"};
+                   "zone_healed",
+                   "task_preempted"};
 
 }  // namespace bw::table
--- a/src/timeline_type.h
+++ b/src/timeline_type.h
@@ -35,6 +35,7 @@
   kClockGap,
   kZoneCut,
   kZoneHealed,
+  kTaskPreempted,
   kEnd,
 };
 
--- a/test/promise_test.cc
+++ b/test/promise_test.cc
@@ -245,6 +245,7 @@
   std::vector<CallerRecord> callers;
   std::mutex mutex;
   std::vector<std::thread> threads;
+  threads.reserve(12);
   for (int key = 0; key < 12; ++key) {
     threads.emplace_back([&, key] {
       const std::string body = "k" + std::to_string(key) + " ms=300";
