Fix: [Placer] A stopped task starts again only where its end is forgotten

The worker still listed the preempted task as ended and refused its new start; three refusals put the worker into quarantine. Ruled out: the order of jobs (urgent ones were first in every pump). Change: a job is not placed on a worker whose last list has an ended task of it; stops and acknowledgements leave with the message that carries them, and are asked for again while the list shows the need.

--- a/bench/bw_bench.cc
+++ b/bench/bw_bench.cc
@@ -2,6 +2,7 @@
 //
 //   bw_bench place                  the placing decision, 50 to 1,000 workers
 //   bw_bench board                  whole placements a second of one shard
+//   bw_bench jobs                   the jobs stream: cost and memory
 //   bw_bench fold                   the control stream: cost, size, memory
 //   bw_bench latency GATE RUNNER    added latency against direct calls
 
@@ -119,6 +120,43 @@
   return 0;
 }
 
+int BenchJobs() {
+  std::puts("jobs     accepted us  done us  MB/1000 jobs  record bytes");
+  for (const int n : {1000, 4000, 16'000}) {
+    const double before = MemoryMb();
+    JobsState state;
+    size_t bytes = 0;
+    const auto event = [](JobRecordKind kind, int number) {
+      JobEvent out;
+      out.kind = kind;
+      out.id = RandomHex();
+      out.job = JobId("j0." + std::to_string(number));
+      out.spec.id = out.job;
+      out.spec.origin = {TeamId("team"), QueueId("batch"), HashKey("k"), ""};
+      out.spec.tasks = 2;
+      return WriteJobEvent(out);
+    };
+    double times[2] = {0, 0};
+    for (const bool done : {false, true}) {
+      std::vector<std::string> records;
+      records.reserve(n);
+      for (int i = 0; i < n; ++i) {
+        records.push_back(
+            event(done ? JobRecordKind::kDone : JobRecordKind::kAccepted, i));
+        bytes += records.back().size();
+      }
+      const Time start = BootClock::now();
+      for (const auto& it : records) {
+        ApplyJobRecord(&state, state.version, it);
+      }
+      times[done ? 1 : 0] = MicrosSince(start) / n;
+    }
+    std::printf("%6d  %11.1f  %7.1f  %12.2f  %12zu\n", n, times[0], times[1],
+                (MemoryMb() - before) * 1000 / n, bytes / (2 * n));
+  }
+  return 0;
+}
+
 Member MakeMember(int n, int zones) {
   return {InstanceId("e" + std::to_string(n)), 1,
           ZoneId("z" + std::to_string(n % zones)), "127.0.0.1:1", 0};
@@ -236,14 +274,18 @@
   if (command == "board") {
     return BenchBoard();
   }
+  if (command == "jobs") {
+    return BenchJobs();
+  }
   if (command == "fold") {
     return BenchFold();
   }
   if (command == "latency" && argc == 4) {
     return BenchLatency(argv[2], argv[3]);
   }
-  std::fputs("Usage: bw_bench place | board | fold | latency GATE RUNNER\n",
-             stderr);
+  std::fputs(
+      "Usage: bw_bench place | board | jobs | fold | latency GATE RUNNER\n",
+      stderr);
   return ToInt(ExitCode::kUsage);
 }
 
--- a/src/job_board.cc
+++ b/src/job_board.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "admit_func.h"
 #include "job_board_base.h"
@@ -365,9 +366,10 @@
   for (auto& [name, it] : workers_) {
     WorkerRoom room;
     room.total = it.info.total;
-    room.usable = it.listed && it.known && !it.lost && !it.info.leaving &&
-                  now >= it.quarantined_until &&
-                  !job.failed_on.contains(name) && it.used.Fits(it.info.total);
+    room.usable =
+        it.listed && it.known && !it.lost && !it.info.leaving &&
+        now >= it.quarantined_until && !job.failed_on.contains(name) &&
+        !it.ended_jobs.contains(job.spec.id) && it.used.Fits(it.info.total);
     room.free = room.usable ? room.total - it.used : Resources{};
     room.rack = it.info.rack;
     auto count = same.find(name);
@@ -619,23 +621,23 @@
     for (const auto& it : worker->tasks) {
       renewal.renew.push_back(TaskName(it.first.first, it.first.second));
     }
-    renewal.stop = worker->stops;
-    renewal.acknowledge = worker->acks;
+    // What a lost message asked for is asked again when the next list shows it.
+    renewal.stop = std::exchange(worker->stops, {});
+    renewal.acknowledge = std::exchange(worker->acks, {});
     call.method = "POST";
     call.url = "http://" + worker->info.address + "/renew";
     call.body = platform::ToJson(renewal);
     worker->lease_sent = now + kActionTime;
   }
-  port_->Call(std::move(call), /*unfenced=*/!renews,
-              [this, name = worker->info.name, now,
-               renews](const net::HttpResult& result) {
-                OnReport(name, now, renews, result);
-              });
+  port_->Call(
+      std::move(call), /*unfenced=*/!renews,
+      [this, name = worker->info.name, now](const net::HttpResult& result) {
+        OnReport(name, now, result);
+      });
 }
 
 void JobBoard::OnReport(const std::string& name,
                         Time asked,
-                        bool renewed,
                         const net::HttpResult& result) {
   auto found = workers_.find(name);
   if (found == workers_.end()) {
@@ -648,10 +650,6 @@
   if (!report || gained_ == kNever || asked < gained_) {
     return;
   }
-  if (renewed) {
-    worker.acks.clear();
-    worker.stops.clear();
-  }
   ApplyReport(&worker, asked, *report);
 }
 
@@ -662,9 +660,14 @@
   worker->clock_ms = report.now_ms;
   worker->lost = false;
   std::set<std::string> seen;
+  worker->ended_jobs.clear();
   for (const auto& it : report.tasks) {
     seen.insert(it.id);
     if (it.ended) {
+      // Until it has forgotten the task it would refuse to start it again.
+      if (auto key = ParseTaskName(it.id)) {
+        worker->ended_jobs.insert(key->first);
+      }
       OnEnded(worker, it.id, it.ok);
       worker->acks.push_back(it.id);
     } else {
@@ -701,6 +704,8 @@
   if (job->cancelled) {
     task.state = TaskState::kStopping;
     worker->stops.push_back(name);
+  } else if (task.preempted) {
+    worker->stops.push_back(name);
   } else if (task.state != TaskState::kRunning) {
     task.state = TaskState::kRunning;
     task.changed = port_->Now();
--- a/test/job_board_test.cc
+++ b/test/job_board_test.cc
@@ -112,6 +112,39 @@
   STRCMP_CONTAINS("j0.now/0", bench.port.calls.back().call.body.c_str());
 }
 
+TEST(JobBoard, StopThatMissedTheListIsAskedForAgain) {
+  Bench bench;
+  bench.Submit("j0.batch", "q", JobKind::kBatch, 4, 2000);
+  bench.StartAll();
+  bench.Pass(2500);  // A renewal is on its way when room is needed.
+  LONGS_EQUAL(1, bench.port.Waiting("/renew"));
+  bench.Submit("j0.now", "urgent", JobKind::kBatch, 1, 2000);
+  bench.port.Answer("/checkpoint", Answered(200, "{}"));
+  Json all = Json::array();
+  for (int n = 0; n < 4; ++n) {
+    all.push_back(Bench::Task("j0.batch/" + std::to_string(n), false, false));
+  }
+  bench.Report(all);
+  bench.Pass(300);
+  LONGS_EQUAL(1, bench.port.Waiting("/renew"));
+  const Json asked = Json::parse(bench.port.calls.back().call.body);
+  CHECK(!asked["stop"].empty());
+}
+
+TEST(JobBoard, TaskStartsAgainOnlyWhereItsEndIsForgotten) {
+  Bench bench;
+  bench.Submit("j0.a", "q", JobKind::kBatch, 1, 1000);
+  bench.StartAll();
+  bench.Pass(2500);
+  bench.Report(Json::array({Bench::Task("j0.a/0", true, false)}));
+  LONGS_EQUAL(0, bench.port.Waiting("/tasks"));
+  bench.Pass(300);
+  bench.Report(Json::array());
+  // That worker failed it, so it is not chosen again, but for another job.
+  bench.Submit("j0.b", "q", JobKind::kBatch, 1, 1000);
+  LONGS_EQUAL(1, bench.port.Waiting("/tasks"));
+}
+
 TEST(JobBoard, ServicesAndRunOnceTasksDoNotGiveWay) {
   Bench bench;
   bench.Submit("j0.service", "q", JobKind::kService, 2, 2000);
