--- a/bench/bw_bench.cc
+++ b/bench/bw_bench.cc
@@ -154,7 +154,7 @@
     }
     std::printf("%6zu  %11.1f  %7.1f  %12.2f  %12zu\n", state.jobs.size(),
                 times[0], times[1], (MemoryMb() - before) * 1000 / n,
-                bytes / (2 * n));
+                bytes / 2 / n);
   }
   return 0;
 }
--- a/src/gate.cc
+++ b/src/gate.cc
@@ -7,6 +7,7 @@
 
 #include "admit_func.h"
 #include "control_func.h"
+#include "fold_fetch_func.h"
 #include "log_func.h"
 #include "peer_func.h"
 #include "proto_func.h"
@@ -20,7 +21,6 @@
 constexpr milliseconds kClockGap{400};
 constexpr milliseconds kHelloEvery{400};
 constexpr milliseconds kHelloTimeout{1000};
-constexpr milliseconds kFetchTimeout{2000};
 constexpr milliseconds kFetchPause{500};
 constexpr milliseconds kUnparkEvery{50};
 constexpr milliseconds kTicketFresh{1500};
@@ -623,7 +623,7 @@
       now >= next_fetch_) {
     next_fetch_ = now + kFetchPause;
     for (const auto& it : options_.seeds) {
-      FetchFold(it);
+      bw::FetchFold(mesh_.get(), it, &control_);
     }
   }
 }
@@ -664,23 +664,10 @@
                 ticket.log_age_ms(), asked);
   if (ticket.version() > state_->version && BootClock::now() >= next_fetch_) {
     next_fetch_ = BootClock::now() + kFetchPause;
-    FetchFold(AddressOf(member));
+    bw::FetchFold(mesh_.get(), AddressOf(member), &control_);
   }
 }
 
-void Gate::FetchFold(const std::string& address) {
-  proto::Envelope question;
-  question.mutable_fold_request();
-  mesh_->Ask(
-      address, std::move(question), kFetchTimeout,
-      [this](const proto::Envelope* answer) {
-        if (answer != nullptr && answer->has_fold_reply()) {
-          control_.Adopt(answer->fold_reply().snapshot());
-        }
-      },
-      nullptr);
-}
-
 std::string Gate::StatusText() const {
   const auto state = control_.state();
   return nlohmann::json{
--- a/src/gate_base.h
+++ b/src/gate_base.h
@@ -129,7 +129,6 @@
   void SendHellos();
   void Greet(const Member& member);
   void OnTicket(const Member& member, Time asked, const proto::Ticket& ticket);
-  void FetchFold(const std::string& address);
   std::string AddressOf(const Member& member) const;
 
   const GateOptions options_;
--- a/src/job_room.cc
+++ b/src/job_room.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "job_board_base.h"
+#include "task_name_func.h"
 
 namespace bw {
 namespace {
@@ -138,7 +139,7 @@
 
 /// Lets the worker take a checkpoint first, then stops the task.
 void JobBoard::Preempt(Worker* worker, const TaskKey& key) {
-  const std::string name = key.first.value + "/" + std::to_string(key.second);
+  const std::string name = TaskName(key.first, key.second);
   FindJob(key.first)->tasks[key.second].preempted = true;
   port_->Events().Write(EventKind::kTaskPreempted, name, worker->info.name);
   port_->Counters().Count("bw_task_preemptions_total");
--- a/src/placer_base.h
+++ b/src/placer_base.h
@@ -119,7 +119,6 @@
   void OnAsk(const proto::AllowanceAsk& in);
   void SendHeartbeats();
   void OnTicket(const Member& peer, Time asked, const proto::Ticket& ticket);
-  void FetchFold(const std::string& address);
   std::string AddressOf(const Member& member) const;
 
   // Allowances.
--- a/src/placer_mesh.cc
+++ b/src/placer_mesh.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "control_func.h"
+#include "fold_fetch_func.h"
 #include "log_func.h"
 #include "peer_func.h"
 #include "placer_base.h"
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr milliseconds kHeartbeatTimeout{1000};
-constexpr milliseconds kFetchTimeout{2000};
 constexpr milliseconds kFetchPause{500};
 constexpr milliseconds kAskPause{200};
 constexpr milliseconds kAskTimeout{1000};
@@ -127,7 +127,7 @@
   if (needs_fold && now >= next_fetch_) {
     next_fetch_ = now + kFetchPause;
     for (const auto& address : options_.seeds) {
-      FetchFold(address);
+      bw::FetchFold(mesh_.get(), address, &control_);
     }
   }
 }
@@ -147,25 +147,10 @@
   UpdateFence();
   if (ticket.version() > state_->version && BootClock::now() >= next_fetch_) {
     next_fetch_ = BootClock::now() + kFetchPause;
-    FetchFold(AddressOf(peer));
+    bw::FetchFold(mesh_.get(), AddressOf(peer), &control_);
   }
 }
 
-void Placer::FetchFold(const std::string& address) {
-  proto::Envelope question;
-  question.mutable_fold_request();
-  mesh_->Ask(
-      address, std::move(question), kFetchTimeout,
-      [this](const proto::Envelope* answer) {
-        if (answer != nullptr && answer->has_fold_reply()) {
-          // The listener posts to the loop and may wait for room, which the
-          // mesh's thread may not: the loop itself never waits for the mesh.
-          control_.Adopt(answer->fold_reply().snapshot());
-        }
-      },
-      nullptr);
-}
-
 /// @return False if the call was seen before; then it is not run again.
 bool Placer::BeginCall(const std::string& call, const net::Mesh::Reply& reply) {
   if (call.empty()) {
--- a/src/request_board.cc
+++ b/src/request_board.cc
@@ -47,6 +47,7 @@
     : shard_(shard), port_(port), usage_(usage) {}
 
 void RequestBoard::Submit(RequestWork work) {
+  work.accepted = port_->Now();
   WorkOutcome refusal = CheckEntry(work);
   if (refusal.error != ErrorCode::kNone) {
     NoteRefusal(work, refusal.error);
@@ -320,6 +321,10 @@
         KeyedState::kSent;
   }
   port_->Events().Write(EventKind::kRequestSent, work.id, runner->info.name);
+  port_->Counters().Observe(
+      "bw_wait_seconds",
+      fmt::format("class=\"request\",team=\"{}\"", work.origin.team.value),
+      static_cast<double>((now - work.accepted).count()));
   auto shared = std::make_shared<RequestWork>(std::move(work));
   OnRunner& placed = runner->requests.at(shared->id);
   placed.sent = now;
--- a/src/work_type.h
+++ b/src/work_type.h
@@ -45,8 +45,9 @@
   WorkOrigin origin;
   std::string body;
   std::string content_type;
-  Time valid_until;  ///< After this it must not be sent to a runner.
-  Duration max_run;  ///< Longest run; then the outcome is unknown.
+  Time accepted = kNever;  ///< When the shard took it in.
+  Time valid_until;        ///< After this it must not be sent to a runner.
+  Duration max_run;        ///< Longest run; then the outcome is unknown.
   OutcomeReply reply;
 };
 
