Fix: [Gate] Only real team names become metric labels; drains wait for records

A draining placer did not wait for records of ended tasks on their way to the log. Change: unknown teams count under an empty label; a drain waits up to 3 s for the records, so that a log that is down does not hold it.

--- a/src/gate.cc
+++ b/src/gate.cc
@@ -532,10 +532,12 @@
 void Gate::Finish(const CallPtr& call, const WorkOutcome& outcome) {
   const auto took = BootClock::now() - call->began;
   const char* code = Describe(outcome.error).name;
+  // Callers may write any name; only real ones become labels.
+  const bool known = state_->accounts.contains(call->origin.team);
+  const std::string team = known ? call->origin.team.value : "";
   parts_.metrics->Count("bw_gate_calls_total",
                         fmt::format("code=\"{}\"", code));
-  parts_.metrics->Observe("bw_gate_seconds",
-                          fmt::format("team=\"{}\"", call->origin.team.value),
+  parts_.metrics->Observe("bw_gate_seconds", fmt::format("team=\"{}\"", team),
                           static_cast<double>(took.count()));
   if (outcome.error == ErrorCode::kNone) {
     net::HttpResponse response;
--- a/src/placer.cc
+++ b/src/placer.cc
@@ -22,7 +22,7 @@
 constexpr milliseconds kEndedJobsKept{3'600'000};
 constexpr Duration kListSettle = milliseconds(30'000);
 constexpr Duration kSnapshotRankPause = milliseconds(2000);
-constexpr milliseconds kStartWait{3000};
+constexpr milliseconds kLeaveWait{3000};
 
 }  // namespace
 
@@ -294,9 +294,10 @@
     UpdateStatus();
   }
   if (draining_) {
-    const bool left =
-        !authority_.IsMember() || BootClock::now() > next_join_ + kStartWait;
-    busy_ = in_flight > 0 || !left;
+    // The leave and what ended should reach the log, if it is up.
+    const bool unsaid = authority_.IsMember() || appender_->IsBusy();
+    const bool waits = BootClock::now() <= next_join_ + kLeaveWait;
+    busy_ = in_flight > 0 || (waits && unsaid);
   } else {
     next_join_ = std::max(next_join_, now - kRecordPause);
   }
--- a/test/promise_test.cc
+++ b/test/promise_test.cc
@@ -143,6 +143,13 @@
   STRCMP_EQUAL(
       "unknown_queue",
       code(fleet.Post(0, "/v1/requests?queue=no", "x", "perchas")).c_str());
+  // Names that callers make up reach no metric.
+  CHECK(fleet.Post(0, "/v1/requests?queue=q&team=made%22up", "x", "").status ==
+        404);
+  const std::string metrics = fleet.StatusOf(0, true, "/metrics");
+  CHECK(metrics.find("bw_gate_calls_total") != std::string::npos);
+  CHECK(metrics.find("made") == std::string::npos);
+  CHECK(metrics.find("key-of-") == std::string::npos);
   const auto open =
       fleet.Post(0, "/v1/requests?queue=open&team=tayside", "x", "");
   LONGS_EQUAL(200, open.status);
--- a/test/support/fleet.cc
+++ b/test/support/fleet.cc
@@ -66,6 +66,16 @@
   directory_ = mkdtemp(name.data());
 }
 
+Fleet::~Fleet() {
+  gates_.clear();
+  placers_.clear();
+  platform_.clear();
+  if (std::getenv("BW_KEEP") == nullptr) {
+    std::error_code ec;
+    std::filesystem::remove_all(directory_, ec);
+  }
+}
+
 std::string Fleet::Name(int instance) {
   return "e" + std::to_string(instance);
 }
--- a/test/support/fleet.h
+++ b/test/support/fleet.h
@@ -35,6 +35,10 @@
 class Fleet {
  public:
   explicit Fleet(FleetShape shape = {});
+  /// Ends all processes. Their output is kept if BW_KEEP is set.
+  ~Fleet();
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
 
   /// Starts everything, publishes the templates and waits until every gate
   /// serves and every zone has an acting shard. @return False on timeout.
