Fix: [Desk] The demo kills the true owner and shows a table

Cause: the demo killed a fixed instance, which did not always own the shard; the time line told evictions of standbys as leaves. Change: the owner is looked up; evictions are events of the evictor; bwload prints a table (load.format=json for the report).

--- a/src/bin/bwload.cc
+++ b/src/bin/bwload.cc
@@ -196,6 +196,34 @@
   return out;
 }
 
+/// The report as a table for people.
+void PrintSummary(const Json& report) {
+  std::printf("%-20s %8s %9s %9s %9s %9s\n", "waiting time, ms", "n", "p50",
+              "p90", "p99", "max");
+  const Json waiting = report.value("waiting", Json::object());
+  for (const auto& it : waiting.items()) {
+    const Json& row = it.value();
+    std::printf("%-20s %8llu %9.1f %9.1f %9.1f %9.1f\n", it.key().c_str(),
+                row.value("n", 0ULL), row.value("p50_ms", 0.0),
+                row.value("p90_ms", 0.0), row.value("p99_ms", 0.0),
+                row.value("max_ms", 0.0));
+  }
+  const Json& control = report["control"];
+  std::printf(
+      "outcomes            %s\n"
+      "goodput             %.0f requests/s\n"
+      "packing             %.3f of the cores of workers in use\n"
+      "share error         %.3f requests, %.3f tasks (-1: never full)\n"
+      "control             %.1f%% of a core a process, %.0f MB at most, "
+      "%.1f appends/s\n",
+      report["outcomes"].dump().c_str(), report.value("goodput_per_s", 0.0),
+      report.value("packing", 0.0), report.value("share_error_requests", 0.0),
+      report.value("share_error_tasks", 0.0),
+      control.value("cpu_percent_mean", 0.0),
+      control.value("memory_mb_most", 0.0),
+      control.value("appends_per_s", 0.0));
+}
+
 double ReadMetric(const std::string& page, const std::string& name) {
   const auto n = page.find("\n" + name + " ");
   return n == std::string::npos
@@ -281,7 +309,11 @@
                                      static_cast<double>(pages.size())},
       {"memory_mb_most", after.most_memory_mb},
       {"appends_per_s", (after.appends - before.appends) / took_s}};
-  std::printf("%s\n", out.dump(2).c_str());
+  if (settings.Text("load.format") == "json") {
+    std::printf("%s\n", out.dump(2).c_str());
+  } else {
+    PrintSummary(out);
+  }
   if (const auto& file = settings.Text("load.out"); !file.empty()) {
     std::ofstream(file) << out.dump(2) << '\n';
   }
--- a/src/placer.cc
+++ b/src/placer.cc
@@ -130,14 +130,7 @@
     const InstanceId& id = gone.first;
     const Member& member = gone.second;
     if (!now.members.contains(id)) {
-      const bool evicted = std::any_of(
-          now.shards.begin(), now.shards.end(), [&](const ShardOwner& it) {
-            return it.zone == member.zone &&
-                   it.origin == ShardOrigin::kEvicted && it.since == now.view;
-          });
-      parts_.events->Write(
-          evicted ? EventKind::kMemberEvicted : EventKind::kMemberLeft,
-          id.value, member.zone.value);
+      parts_.events->Write(EventKind::kMemberLeft, id.value, member.zone.value);
     }
   }
 }
@@ -332,6 +325,7 @@
   if (auto dead = authority_.FindDead(now, is_gone, this)) {
     next_evict_ = now + kRecordPause;
     authority_.BeginEvict(dead->id);
+    parts_.events->Write(EventKind::kMemberEvicted, dead->id.value);
     Log(Part::kMember, LogLevel::kWarn, "Evicting {}.", dead->id.value);
     PutControl(EvictRecord(RandomHex(), *dead, options_.self), true, nullptr);
   }
--- a/src/table/load_settings.h
+++ b/src/table/load_settings.h
@@ -40,6 +40,8 @@
      "Cores of a worker, for packing."},
     {"load", "pages", SettingType::kList, "", 0, 0,
      "Status addresses of processes whose cost is reported."},
+    {"load", "format", SettingType::kText, "text", 0, 10,
+     "What is printed: text or json."},
     {"load", "out", SettingType::kText, "", 0, 4096,
      "File for the report as JSON; empty: none."},
 };
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -107,6 +107,16 @@
   wait_for 30 all_ready
 }
 
+owner_of_b() { # Instance number of zone b's owner; e3 and e4 are its members.
+  local n
+  for n in 3 4; do
+    get "http://127.0.0.1:$((base + 60 + n))/status" | grep -q '"acting":true' && echo "$n" && return
+  done
+  return 1
+}
+
+placer_pid() { echo "${pids[4 + $1 * 2]}"; } # Of instance $1.
+
 load() { # load SETTING... : one run of bwload against the fleet
   local arguments=() it
   for it in "load.gates=$gates" "load.teams=$teams" "load.pages=$pages" \
