Fix: [Desk] The picture ends the bar of a killed process at its eviction

Cause: a killed placer writes no end of its authority, so its bar ran on beside its successor's and looked like two owners; the legend's last words overlapped. Measured: Timeline.EvictionEndsTheBarOfAKilledProcess passes.

--- a/src/picture.cc
+++ b/src/picture.cc
@@ -13,6 +13,8 @@
 constexpr int kLeft = 130;
 constexpr int kLaneHeight = 26;
 constexpr int kTop = 40;
+constexpr int kLegendLeft = 10;
+constexpr int kLegendStep = 107;
 constexpr int kCounterBits = 16;
 
 struct KindColour {
@@ -80,12 +82,17 @@
   };
   for (const auto& it : events) {
     const std::string lane = LaneOf(it);
+    // A killed process writes no end; its eviction ends its bar.
+    const bool gone = it.kind == EventKind::kMemberEvicted ||
+                      it.kind == EventKind::kMemberLeft;
+    const std::string ended =
+        gone ? it.zone + " " + it.subject + " " + it.process : lane;
     if (it.kind == EventKind::kAuthorityGained) {
       since.emplace(lane, it.hlc);
-    } else if (it.kind == EventKind::kAuthorityLost ||
+    } else if (gone || it.kind == EventKind::kAuthorityLost ||
                it.kind == EventKind::kStarted) {
-      if (auto node = since.extract(lane); !node.empty()) {
-        bar(lane, node.mapped(), it.hlc);
+      if (auto node = since.extract(ended); !node.empty()) {
+        bar(ended, node.mapped(), it.hlc);
       }
     }
   }
@@ -97,13 +104,13 @@
 
 std::string DrawLegend() {
   std::string out;
-  int x = kLeft;
+  int x = kLegendLeft;
   for (const auto& it : kColours) {
     out += fmt::format(
         "<circle cx='{}' cy='14' r='4' fill='{}'/><text x='{}' y='18' "
-        "font-size='10'>{}</text>\n",
+        "font-size='9'>{}</text>\n",
         x, it.colour, x + 7, EventName(it.kind));
-    x += 97;
+    x += kLegendStep;
   }
   return out;
 }
--- a/test/timeline_test.cc
+++ b/test/timeline_test.cc
@@ -33,6 +33,23 @@
   CHECK(clock.Tick() > heard + 1);
 }
 
+TEST(Timeline, EvictionEndsTheBarOfAKilledProcess) {
+  const auto event = [](uint64_t ms, const char* instance, EventKind kind,
+                        const char* subject) {
+    return TimelineEvent{ms << 16, instance, "b", "bwplacer",
+                         kind,     subject,  ""};
+  };
+  const auto width = [](const std::string& picture) {
+    const auto n = picture.find("width='", picture.find("<rect x="));
+    return std::stoi(picture.substr(n + 7));
+  };
+  const auto gained = event(1, "e3", EventKind::kAuthorityGained, "shard 1");
+  const auto late = event(1000, "e4", EventKind::kStarted, "e4");
+  const auto evicted = event(500, "e4", EventKind::kMemberEvicted, "e3");
+  CHECK(width(DrawTimeline({gained, evicted, late})) * 3 <
+        width(DrawTimeline({gained, late})) * 2);
+}
+
 TEST(Timeline, PictureHasALaneForEachProcess) {
   const std::string picture = DrawTimeline(
       {{1 << 20, "e0", "a", "bwgate", EventKind::kStarted, "<x>", ""},
@@ -40,6 +57,7 @@
   CHECK(picture.find("a e0 bwgate") != std::string::npos);
   CHECK(picture.find("b e1 bwplacer") != std::string::npos);
   CHECK(picture.find("<x>") == std::string::npos);
+  CHECK(picture.find("<rect x=") != std::string::npos);
   CHECK(DrawTimeline({}).find("</svg>") != std::string::npos);
 }
 
