Codechange: [Platform] Wire formats of runners and workers in one file each

The boards made HTTP calls themselves, so another platform's format would have cost changes in four files. platform/runner.cc and platform/worker.cc now hold all of it; behaviour is the same.

--- a/src/job_board.cc
+++ b/src/job_board.cc
@@ -14,7 +14,6 @@
 using Json = nlohmann::json;
 
 constexpr milliseconds kActionTime{1000};
-constexpr milliseconds kStartTimeout{2000};
 constexpr milliseconds kLogRetry{1000};
 constexpr uint32_t kMaxPlacedPerPump = 256;
 constexpr uint32_t kRetryAfterMs = 1000;
@@ -475,11 +474,7 @@
       entry.not_after_ms,
       job.spec.run_ms,
       job.spec.command};
-  net::HttpCall call;
-  call.method = "POST";
-  call.url = "http://" + worker.info.address + "/tasks";
-  call.body = platform::ToJson(start);
-  call.timeout = kStartTimeout;
+  auto call = platform::MakeStartCall(worker.info.address, start);
   port_->Events().Write(EventKind::kTaskSent, start.id, worker.info.name);
   port_->Counters().Count("bw_task_starts_total");
   port_->Counters().Observe(
--- a/src/job_lease.cc
+++ b/src/job_lease.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr milliseconds kActionTime{1000};
-constexpr milliseconds kAskTimeout{1500};
 constexpr milliseconds kAskUnknownEvery{250};
 constexpr milliseconds kAskIdleEvery{2000};
 constexpr Duration kClockMargin = milliseconds(500);
@@ -59,9 +58,7 @@
   const bool renews = worker->known && now - worker->answered < lease_ / 2;
   worker->asking = true;
   worker->asked = now;
-  net::HttpCall call;
-  call.timeout = kAskTimeout;
-  call.url = "http://" + worker->info.address + "/tasks";
+  auto call = platform::MakeListCall(worker->info.address);
   if (renews) {
     platform::WorkerRenewal renewal;
     renewal.lease_ms = static_cast<uint64_t>(
@@ -76,9 +73,7 @@
     // What a lost message asked for is asked again when the next list shows it.
     renewal.stop = std::exchange(worker->stops, {});
     renewal.acknowledge = std::exchange(worker->acks, {});
-    call.method = "POST";
-    call.url = "http://" + worker->info.address + "/renew";
-    call.body = platform::ToJson(renewal);
+    call = platform::MakeRenewCall(worker->info.address, renewal);
     worker->lease_sent = now + kActionTime;
   }
   port_->Call(
--- a/src/job_room.cc
+++ b/src/job_room.cc
@@ -2,7 +2,6 @@
 // gives way.
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "job_board_base.h"
 #include "task_name_func.h"
@@ -15,7 +14,6 @@
 constexpr Duration kGangPatience = milliseconds(1500);
 constexpr Duration kReservation = milliseconds(6000);
 constexpr Duration kReservationPause = milliseconds(6000);
-constexpr milliseconds kCheckpointTimeout{500};
 
 }  // namespace
 
@@ -143,12 +141,8 @@
   FindJob(key.first)->tasks[key.second].preempted = true;
   port_->Events().Write(EventKind::kTaskPreempted, name, worker->info.name);
   port_->Counters().Count("bw_task_preemptions_total");
-  net::HttpCall call;
-  call.method = "POST";
-  call.url = "http://" + worker->info.address + "/checkpoint";
-  call.body = nlohmann::json{{"id", name}}.dump();
-  call.timeout = kCheckpointTimeout;
-  port_->Call(std::move(call), /*unfenced=*/false,
+  port_->Call(platform::MakeCheckpointCall(worker->info.address, name),
+              /*unfenced=*/false,
               [this, name, at = worker->info.name](const net::HttpResult&) {
                 auto it = workers_.find(at);
                 if (it != workers_.end()) {
--- a/src/platform/worker.cc
+++ b/src/platform/worker.cc
@@ -4,8 +4,27 @@
 
 namespace bw::platform {
 
+namespace {
+
 using Json = nlohmann::json;
 
+constexpr milliseconds kStartTimeout{2000};
+constexpr milliseconds kAskTimeout{1500};
+constexpr milliseconds kCheckpointTimeout{500};
+
+net::HttpCall MakePost(const std::string& where,
+                       milliseconds timeout,
+                       const Json& body) {
+  net::HttpCall out;
+  out.method = "POST";
+  out.url = "http://" + where;
+  out.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  out.timeout = timeout;
+  return out;
+}
+
+}  // namespace
+
 std::optional<WorkerReport> ReadWorkerReport(const std::string& json) {
   try {
     const Json in = Json::parse(json);
@@ -22,26 +41,39 @@
   }
 }
 
-std::string ToJson(const WorkerRenewal& it) {
-  return Json{{"lease_ms", it.lease_ms},
-              {"not_after_ms", it.not_after_ms},
-              {"renew", it.renew},
-              {"stop", it.stop},
-              {"acknowledge", it.acknowledge}}
-      .dump();
+net::HttpCall MakeListCall(const std::string& address) {
+  net::HttpCall out;
+  out.url = "http://" + address + "/tasks";
+  out.timeout = kAskTimeout;
+  return out;
+}
+
+net::HttpCall MakeRenewCall(const std::string& address,
+                            const WorkerRenewal& it) {
+  return MakePost(address + "/renew", kAskTimeout,
+                  {{"lease_ms", it.lease_ms},
+                   {"not_after_ms", it.not_after_ms},
+                   {"renew", it.renew},
+                   {"stop", it.stop},
+                   {"acknowledge", it.acknowledge}});
+}
+
+net::HttpCall MakeStartCall(const std::string& address, const WorkerStart& it) {
+  return MakePost(address + "/tasks", kStartTimeout,
+                  {{"id", it.id},
+                   {"team", it.team},
+                   {"millicores", it.millicores},
+                   {"memory_mb", it.memory_mb},
+                   {"accelerators", it.accelerators},
+                   {"lease_ms", it.lease_ms},
+                   {"not_after_ms", it.not_after_ms},
+                   {"run_ms", it.run_ms},
+                   {"command", it.command}});
 }
 
-std::string ToJson(const WorkerStart& it) {
-  return Json{{"id", it.id},
-              {"team", it.team},
-              {"millicores", it.millicores},
-              {"memory_mb", it.memory_mb},
-              {"accelerators", it.accelerators},
-              {"lease_ms", it.lease_ms},
-              {"not_after_ms", it.not_after_ms},
-              {"run_ms", it.run_ms},
-              {"command", it.command}}
-      .dump(-1, ' ', false, Json::error_handler_t::replace);
+net::HttpCall MakeCheckpointCall(const std::string& address,
+                                 const std::string& task) {
+  return MakePost(address + "/checkpoint", kCheckpointTimeout, {{"id", task}});
 }
 
 }  // namespace bw::platform
--- a/src/platform/worker_type.h
+++ b/src/platform/worker_type.h
@@ -1,4 +1,5 @@
-// What the platform's workers say of their tasks.
+// The workers' wire format: all that another platform's workers would change.
+// Thread-safe: pure functions.
 #pragma once
 
 #include <cstdint>
@@ -6,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "../net/http_type.h"
+
 namespace bw::platform {
 
 /// One task as the worker sees it.
@@ -40,7 +43,8 @@
 
   bool operator==(const WorkerRenewal&) const = default;
 };
-std::string ToJson(const WorkerRenewal& renewal);
+net::HttpCall MakeRenewCall(const std::string& address,
+                            const WorkerRenewal& renewal);
 
 /// A request to start one task.
 struct WorkerStart {
@@ -56,6 +60,14 @@
 
   bool operator==(const WorkerStart&) const = default;
 };
-std::string ToJson(const WorkerStart& start);
+net::HttpCall MakeStartCall(const std::string& address,
+                            const WorkerStart& start);
+
+/// Reads a worker's list; changes nothing there.
+net::HttpCall MakeListCall(const std::string& address);
+
+/// Asks for a checkpoint of one task.
+net::HttpCall MakeCheckpointCall(const std::string& address,
+                                 const std::string& task);
 
 }  // namespace bw::platform
--- a/src/request_board.cc
+++ b/src/request_board.cc
@@ -1,21 +1,17 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "admit_func.h"
-#include "log_func.h"
+#include "platform/runner_type.h"
 #include "request_board_base.h"
 #include "text_func.h"
 
 namespace bw {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr Duration kActionTime = milliseconds(1000);  ///< A send is valid.
 constexpr milliseconds kAnswerSlack{500};
-constexpr milliseconds kPollTimeout{1000};
 constexpr milliseconds kPollEvery{1000};
 constexpr milliseconds kPollUnknownEvery{200};
 constexpr Duration kLongestRun = milliseconds(120'000);
@@ -25,22 +21,12 @@
 constexpr milliseconds kAvoidTime{2000};
 constexpr uint32_t kRetryAfterMs = 1000;
 constexpr size_t kMaxKeyed = 100'000;
-constexpr const char* kNotRunHeader = "bw-not-run";
 
 /// Requests are named "team:instance:number".
 TeamId TeamOfRequest(const std::string& id) {
   return TeamId(id.substr(0, id.find(':')));
 }
 
-/// Statuses by which a runner says that it refused before running.
-bool RunnerRefused(const net::HttpResult& result) {
-  constexpr int kExpired = 412;
-  constexpr int kFull = 429;
-  return result.fate == net::CallFate::kAnswered &&
-         (result.status == kExpired || result.status == kFull) &&
-         result.body.find(kNotRunHeader) != std::string::npos;
-}
-
 }  // namespace
 
 RequestBoard::RequestBoard(ShardId shard, ShardPort* port, TeamUsage* usage)
@@ -304,18 +290,11 @@
   runner->requests[work.id] = entry;
   usage_->Add(work.origin.team, 1);
   ++in_flight_;
-  net::HttpCall call;
-  call.method = "POST";
-  call.url = "http://" + runner->info.address + "/run";
-  call.body = work.body.empty() ? " " : work.body;
-  call.timeout =
-      std::chrono::duration_cast<milliseconds>(work.max_run) + kAnswerSlack;
-  call.headers = {
-      {"Content-Type", work.content_type.empty() ? "application/octet-stream"
-                                                 : work.content_type},
-      {"Bw-Request", work.id},
-      {"Bw-Queue", work.origin.queue.value},
-      {"Bw-Not-After", std::to_string(entry.not_after_ms)}};
+  auto call = platform::MakeRunCall(
+      runner->info.address,
+      {work.id, work.origin.queue.value, work.body, work.content_type,
+       entry.not_after_ms},
+      std::chrono::duration_cast<milliseconds>(work.max_run) + kAnswerSlack);
   if (!work.origin.idempotency_key.empty()) {
     keyed_[{work.origin.team, work.origin.idempotency_key}].state =
         KeyedState::kSent;
@@ -345,7 +324,8 @@
   if (!runner.requests.contains(work->id)) {
     return;  // Ended before by the runner's own list.
   }
-  if (result.fate == net::CallFate::kNotSent || RunnerRefused(result)) {
+  if (result.fate == net::CallFate::kNotSent ||
+      platform::RunnerRefused(result)) {
     Release(&runner, work->id);
     if (port_->MayAct() && port_->Now() < work->valid_until) {
       Enqueue(std::move(*work));  // Surely not run: another runner may.
@@ -421,11 +401,8 @@
     return;
   }
   runner->polling = true;
-  net::HttpCall call;
-  call.url = "http://" + runner->info.address + "/load";
-  call.timeout = kPollTimeout;
   port_->Call(
-      std::move(call), /*unfenced=*/true,
+      platform::MakeLoadCall(runner->info.address), /*unfenced=*/true,
       [this, name = runner->info.name, asked = port_->Now()](
           const net::HttpResult& result) { OnPolled(name, asked, result); });
 }
@@ -435,15 +412,14 @@
                             const net::HttpResult& result) {
   Runner& runner = runners_.at(name);
   runner.polling = false;
-  const Json in = Json::parse(result.body, nullptr, false);
-  if (!result.Ok() || !in.is_object() || !in.contains("now_ms") ||
-      !in.contains("running")) {
+  const auto load = platform::ReadRunnerLoad(result);
+  if (!load) {
     return;
   }
   runner.polled = asked;
   runner.answered = port_->Now();
-  runner.clock_ms = in["now_ms"].get<uint64_t>();
-  const auto running = in["running"].get<std::set<std::string>>();
+  runner.clock_ms = load->now_ms;
+  const auto& running = load->running;
   AdoptListed(&runner, running);
   EndMissing(&runner, asked, running);
   std::vector<std::string> cleared;
--- a/test/job_test.cc
+++ b/test/job_test.cc
@@ -2,10 +2,12 @@
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
 
+#include <asio.hpp>
 #include <map>
 #include <set>
 #include <thread>
 
+#include "../src/text_func.h"
 #include "support/audit.h"
 #include "support/load.h"
 
@@ -278,4 +280,41 @@
   CHECK(Starts(fleet).empty());
 }
 
+/// Opens connections that send half a request and then nothing, and some that
+/// go away before their answer.
+TEST(Job, SlowAndVanishingCallersHurtNobody) {
+  Fleet fleet({.instances = {1}, .workers = 0});
+  CHECK(fleet.Start());
+  Load load(&fleet, {.callers = 4});
+  asio::io_context io;
+  std::vector<asio::ip::tcp::socket> slow;
+  const HostPort gate = SplitAddress(fleet.GateUrl(0).substr(7));
+  for (int n = 0; n < 60; ++n) {
+    slow.emplace_back(io);
+    slow.back().connect({asio::ip::make_address(gate.host), gate.port});
+    const std::string head =
+        "POST /v1/requests?queue=now HTTP/1.1\r\nHost: x\r\nBw-Key: " +
+        KeyOf("perchas") + "\r\nContent-Length: 9\r\n\r\n";
+    const bool vanishes = n % 2 == 0;
+    asio::write(slow.back(),
+                asio::buffer(vanishes ? head + "van ms=40" : head + "slow"));
+    if (vanishes) {
+      slow.back().close();
+    }
+  }
+  CHECK(load.WaitGood(200));
+  // The server ends callers that send nothing more.
+  CHECK(Eventually([&] {
+    std::error_code ec;
+    slow[1].non_blocking(true);
+    char buf[64];
+    slow[1].read_some(asio::buffer(buf), ec);
+    return ec && ec != asio::error::would_block;
+  }));
+  load.Stop();
+  const auto evidence = Collect(fleet, {&load});
+  STRCMP_EQUAL("", Join(AuditOverfull(evidence)).c_str());
+  STRCMP_EQUAL("", Join(AuditAnswered(evidence)).c_str());
+}
+
 }  // namespace bw::test
