Codechange: [Test] No key reaches logs, pages, events or the log

Promise.KeysAreChecked now also reads the output and events of every process, the status pages and the control stream.

--- a/test/promise_test.cc
+++ b/test/promise_test.cc
@@ -2,6 +2,10 @@
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
 
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
 #include <thread>
 
 #include "../src/text_func.h"
@@ -150,6 +154,16 @@
   CHECK(metrics.find("bw_gate_calls_total") != std::string::npos);
   CHECK(metrics.find("made") == std::string::npos);
   CHECK(metrics.find("key-of-") == std::string::npos);
+  for (const auto& it :
+       std::filesystem::directory_iterator(fleet.directory())) {
+    std::stringstream text;
+    text << std::ifstream(it.path()).rdbuf();
+    CHECK_TEXT(text.str().find("key-of-") == std::string::npos,
+               it.path().c_str());
+  }
+  CHECK(fleet.StatusOf(0, true, "/status").find("key") == std::string::npos);
+  CHECK(fleet.StatusOf(0, false, "/status").find("key") == std::string::npos);
+  CHECK(fleet.LogTruth("control").dump().find("key-of-") == std::string::npos);
   const auto open =
       fleet.Post(0, "/v1/requests?queue=open&team=tayside", "x", "");
   LONGS_EQUAL(200, open.status);
