--- /dev/null
+++ b/src/bin/bwentry.cc
@@ -0,0 +1,100 @@
+// bwentry: front and owner of one entry instance on the users' platform.
+
+#include <algorithm>
+#include <cstdlib>
+#include <vector>
+
+#include "../entry_base.h"
+#include "../event_log_func.h"
+#include "../platform/deployment.h"
+#include "../process_func.h"
+#include "../table/entry_settings.h"
+
+namespace bw {
+namespace {
+
+/// Work under way at shutdown is cut this long before the platform kills.
+constexpr milliseconds kBeforeKill{900};
+
+EntryOptions OptionsFrom(const Settings& settings) {
+  const auto ms = [&](const char* name, double factor = 1) {
+    return milliseconds(
+        static_cast<int64_t>(settings.Real(name) * factor));
+  };
+  constexpr double kMsPerSecond = 1000;
+  const std::string& host = settings.Text("mesh.host");
+  const int64_t port = settings.Int("mesh.first_port");
+  const auto at = [&](int64_t n) { return host + ":" + std::to_string(n); };
+  EntryOptions out;
+  out.listen_front = settings.Text("listen.front");
+  out.listen_ready = settings.Text("listen.ready");
+  if (const int64_t n = settings.Int("listen.metrics_offset"); n > 0) {
+    out.listen_metrics = at(port + n);
+  }
+  out.store = settings.Text("platform.store");
+  out.advice = settings.Text("platform.advice");
+  out.max_call_bytes =
+      static_cast<size_t>(settings.Real("platform.call_bytes"));
+  out.grace = ms("bounds.grace_s", kMsPerSecond);
+  out.membership.name = settings.Text("instance.name");
+  out.membership.address = at(port);
+  const auto wall = std::chrono::system_clock::now().time_since_epoch();
+  out.membership.incarnation = static_cast<uint64_t>(
+      std::chrono::duration_cast<milliseconds>(wall).count());
+  out.membership.ttl =
+      std::max(milliseconds(settings.Int("timing.member_ttl_ms")),
+               ms("platform.member_ttl_min_ms"));
+  out.membership.join_every =
+      milliseconds(settings.Int("timing.join_every_ms"));
+  out.cell.hold_max = ms("bounds.hold_max_ms");
+  out.cell.lease = milliseconds(settings.Int("timing.lease_ms"));
+  out.cell.status_kept = ms("bounds.status_s", kMsPerSecond);
+  out.cell.gang_wait = ms("bounds.gang_ms");
+  out.cell.far_factor = settings.Real("bounds.far_x");
+  out.front.revoke = ms("bounds.revoke_ms");
+  out.front.config_apply = ms("bounds.config_apply_ms");
+  return out;
+}
+
+int Main(int argc, const char** argv) {
+  // The platform names the settings file in the environment.
+  std::vector<const char*> arguments(argv, argv + argc);
+  std::string from_platform;
+  const char* file = std::getenv(platform::kSettingsVariable);
+  const bool given =
+      std::any_of(arguments.begin(), arguments.end(), [](const char* it) {
+        return std::string_view(it).starts_with("--settings");
+      });
+  if (file != nullptr && !given) {
+    from_platform = std::string("--settings=") + file;
+    arguments.push_back(from_platform.c_str());
+  }
+  int exit_code = 0;
+  auto line = ReadCommandLine(static_cast<int>(arguments.size()),
+                              arguments.data(), "[OPTION...]",
+                              table::kEntrySettings, {}, &exit_code);
+  if (!line) {
+    return exit_code;
+  }
+  BlockSignals();
+  UsePlainLines();
+  const EntryOptions options = OptionsFrom(line->settings);
+  LogEvent(Part::kKernel, "start",
+           {{"instance", options.membership.name},
+            {"zone", line->settings.Text("instance.zone")},
+            {"front", options.listen_front},
+            {"mesh", options.membership.address},
+            {"incarnation", options.membership.incarnation}});
+  Kernel kernel;
+  kernel.Add("entry", std::make_unique<Entry>(options));
+  const int code = RunKernel(&kernel, options.grace - kBeforeKill);
+  LogEvent(Part::kKernel, "stop", {{"exit_code", code}});
+  return code;
+}
+
+}  // namespace
+}  // namespace bw
+
+int main(int argc, const char** argv) {
+  return bw::RunMain(bw::Main, argc, argv);
+}
--- /dev/null
+++ b/src/cell.cc
@@ -0,0 +1,457 @@
+// The cell's jobs: acceptance, state, cancelling, steps and occurrences.
+
+#include <algorithm>
+#include <utility>
+
+#include "cell_base.h"
+#include "event_log_func.h"
+#include "platform/ingress.h"
+#include "platform/store.h"
+#include "proto/bw.pb.h"
+
+namespace bw {
+namespace {
+
+/// Retry-After while a take-over or an outage lasts.
+constexpr uint32_t kRetrySoonMs = 1000;
+/// Run numbers of a new owner start this far apart, so that they are higher
+/// than any that a former owner gave without a record.
+constexpr uint64_t kRunsPerOwner = 1000;
+/// A job that the store does not take in this time is refused, if its record
+/// surely did not leave.
+constexpr milliseconds kStoreWait{800};
+
+CellOutcome Accept(const char* state) {
+  CellOutcome out;
+  out.state = state;
+  return out;
+}
+
+}  // namespace
+
+const char* StateName(JobState state) {
+  switch (state) {
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+    case JobState::kActive:
+      break;
+  }
+  return "running";
+}
+
+const char* VerdictName(OrderVerdict verdict) {
+  switch (verdict) {
+    case OrderVerdict::kDone:
+      return "done";
+    case OrderVerdict::kFenced:
+      return "fenced";
+    case OrderVerdict::kSuperseded:
+      return "superseded";
+    case OrderVerdict::kExpired:
+      return "expired";
+    case OrderVerdict::kNoRoom:
+      return "no_room";
+    case OrderVerdict::kNoTicket:
+      return "no_ticket";
+    case OrderVerdict::kUnhealthy:
+      return "unhealthy";
+    case OrderVerdict::kInvalid:
+      return "invalid";
+    case OrderVerdict::kOtherIncarnation:
+      return "other_incarnation";
+    case OrderVerdict::kUnknown:
+      return "no_answer";
+    case OrderVerdict::kNotSent:
+      return "not_sent";
+  }
+  return "no_answer";
+}
+
+Cell::Cell(CellOptions options, CellPort* port)
+    : options_(options), port_(port), wall_ms_(options.wall_ms) {}
+
+void Cell::SetConfig(std::shared_ptr<const CellConfig> config) {
+  config_ = std::move(config);
+  for (auto& it : jobs_) {
+    if (const auto* queue = config_->FindQueue(it.second.queue)) {
+      it.second.policy = *queue;
+    }
+  }
+}
+
+Cell::Job* Cell::FindJob(const JobId& id) {
+  auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+Cell::Step* Cell::FindStep(const StepRef& ref, Job** job) {
+  *job = FindJob(ref.job);
+  if (*job == nullptr) {
+    return nullptr;
+  }
+  auto it = (*job)->occurrences.find(ref.occurrence);
+  if (it == (*job)->occurrences.end() ||
+      ref.step >= it->second.steps.size()) {
+    return nullptr;
+  }
+  return &it->second.steps[ref.step];
+}
+
+Cell::Task* Cell::FindTask(const TaskRef& ref, Job** job, Step** step) {
+  *step = FindStep({ref.job, ref.occurrence, ref.step}, job);
+  if (*step == nullptr || ref.index >= (*step)->tasks.size()) {
+    return nullptr;
+  }
+  return &(*step)->tasks[ref.index];
+}
+
+CellOutcome Cell::Refuse(CellVerdict verdict, const char* reason) const {
+  CellOutcome out;
+  out.verdict = verdict;
+  out.reason = reason;
+  out.retry_after_ms = kRetrySoonMs;
+  return out;
+}
+
+void Cell::Submit(const JobId& id,
+                  const TeamId& team,
+                  const QueueId& queue,
+                  const std::string& body,
+                  Time now,
+                  CellDone done) {
+  if (auto ended = ended_.find(id); ended != ended_.end()) {
+    const bool own = ended->second.team == team;
+    done(own ? Accept(StateName(ended->second.state))
+             : Refuse(CellVerdict::kOtherAccount, "job of another account"));
+    return;
+  }
+  if (Job* known = FindJob(id)) {
+    if (known->team != team) {
+      done(Refuse(CellVerdict::kOtherAccount, "job of another account"));
+    } else if (known->stored) {
+      done(Accept("queued"));
+    } else {
+      known->waiting_accept.push_back(std::move(done));
+    }
+    return;
+  }
+  const QueuePolicy* policy = config_ ? config_->FindQueue(queue) : nullptr;
+  if (policy == nullptr) {
+    done(Refuse(CellVerdict::kBehind, "queue not known yet"));
+    return;
+  }
+  if (!port_->IsSettled()) {
+    done(Refuse(CellVerdict::kStoreAway, "store does not answer"));
+    return;
+  }
+  Job job;
+  if (platform::ReadBatchSpec(body, &job.spec) != platform::SpecFault::kNone) {
+    done(Refuse(CellVerdict::kMalformed, "job cannot be read"));
+    return;
+  }
+  job.id = id;
+  job.team = team;
+  job.queue = queue;
+  job.body = body;
+  job.policy = *policy;
+  job.accepted_ms = wall_ms_;
+  job.accepted = now;
+  job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
+  const AccountPolicy* account = config_->FindAccount(team);
+  job.over_share =
+      account != nullptr && shares_.IsOver(team, account->weight, now);
+  job.waiting_accept.push_back(std::move(done));
+  proto::JobRecord record;
+  record.set_team(team.value);
+  record.set_queue(queue.value);
+  record.set_body(body);
+  record.set_accepted_ms(job.accepted_ms);
+  record.set_service(policy->service);
+  record.set_max_attempts(policy->max_attempts);
+  record.set_over_share(job.over_share);
+  auto& added = jobs_[id] = std::move(job);
+  added.keep_number = port_->Keep(
+      {platform::MakeKeyedRecord("s:" + id.value, record.SerializeAsString())},
+      [this, id] { OnAccepted(id); });
+}
+
+void Cell::OnAccepted(const JobId& id) {
+  Job* job = FindJob(id);
+  if (job == nullptr) {
+    return;
+  }
+  job->stored = true;
+  LogEvent(Part::kPlacer, "job_accepted",
+           {{"job", id.value},
+            {"team", job->team.value},
+            {"queue", job->queue.value},
+            {"steps", job->spec.steps.size()},
+            {"over_share", job->over_share},
+            {"config", config_ ? config_->version : 0}});
+  auto waiting = std::move(job->waiting_accept);
+  job->waiting_accept.clear();
+  if (job->spec.repeat_count > 0 || job->spec.start_at_ms > 0) {
+    timed_.insert(id);
+    OpenDueOccurrences(job, wall_ms_, job->accepted);
+  } else if (job->state == JobState::kActive) {
+    AddOccurrence(job, 0, job->accepted);
+  }
+  for (auto& it : waiting) {
+    it(Accept("queued"));
+  }
+}
+
+/// Jobs whose record did not leave yet are refused when the store is away.
+void Cell::RefuseUnstored(Time now) {
+  if (port_->IsSettled()) {
+    return;
+  }
+  for (auto it = jobs_.begin(); it != jobs_.end();) {
+    Job& job = it->second;
+    if (job.stored || now - job.accepted < kStoreWait ||
+        !port_->Withdraw(job.keep_number)) {
+      ++it;
+      continue;
+    }
+    LogEvent(Part::kPlacer, "job_refused",
+             {{"job", it->first.value},
+              {"why", "store away"},
+              {"waited_ms", AgeMs(job.accepted, now)}});
+    auto waiting = std::move(job.waiting_accept);
+    it = jobs_.erase(it);
+    for (auto& done : waiting) {
+      done(Refuse(CellVerdict::kStoreAway, "store does not answer"));
+    }
+  }
+}
+
+void Cell::AddOccurrence(Job* job, uint32_t number, Time now) {
+  Occurrence& added = job->occurrences[number];
+  added.steps.resize(job->spec.steps.size());
+  for (size_t n = 0; n < added.steps.size(); ++n) {
+    added.steps[n].tasks.resize(job->spec.steps[n].count);
+    if (job->inherited) {
+      for (auto& it : added.steps[n].tasks) {
+        it.run = options_.fencing_token * kRunsPerOwner;
+      }
+    }
+  }
+  job->next_occurrence = std::max(job->next_occurrence, number + 1);
+  UpdateReady(job, number, now);
+}
+
+/// Makes steps ready whose predecessors are done.
+void Cell::UpdateReady(Job* job, uint32_t occurrence, Time now) {
+  auto found = job->occurrences.find(occurrence);
+  if (found == job->occurrences.end() || job->state != JobState::kActive) {
+    return;
+  }
+  auto& steps = found->second.steps;
+  for (uint32_t n = 0; n < steps.size(); ++n) {
+    if (steps[n].ready) {
+      continue;
+    }
+    const auto& after = job->spec.steps[n].after;
+    const bool ready = std::all_of(after.begin(), after.end(), [&](uint32_t b) {
+      return steps[b].done == steps[b].tasks.size();
+    });
+    if (ready) {
+      steps[n].ready = true;
+      steps[n].waits_since = now;
+      if (steps[n].done < steps[n].tasks.size()) {
+        ready_.insert({job->id, occurrence, n});
+      }
+    }
+  }
+}
+
+void Cell::OpenDueOccurrences(Job* job, uint64_t wall_ms, Time now) {
+  const uint64_t count = std::max<uint64_t>(1, job->spec.repeat_count);
+  while (job->state == JobState::kActive && job->next_occurrence < count &&
+         wall_ms >= job->spec.start_at_ms +
+                        job->next_occurrence * job->spec.interval_ms) {
+    AddOccurrence(job, job->next_occurrence, now);
+  }
+  if (job->next_occurrence >= count || job->state != JobState::kActive) {
+    timed_.erase(job->id);
+  }
+}
+
+CellOutcome Cell::State(const JobId& id, const TeamId& team) const {
+  CellOutcome out;
+  if (auto ended = ended_.find(id); ended != ended_.end()) {
+    if (ended->second.team != team) {
+      return Refuse(CellVerdict::kOtherAccount, "job of another account");
+    }
+    out.state = StateName(ended->second.state);
+    return out;
+  }
+  auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return Refuse(CellVerdict::kUnknownJob, "no such job");
+  }
+  if (it->second.team != team) {
+    return Refuse(CellVerdict::kOtherAccount, "job of another account");
+  }
+  if (!it->second.stored) {
+    return Refuse(CellVerdict::kStoreAway, "its acceptance is not stored yet");
+  }
+  out.state = it->second.started ? "running" : "queued";
+  return out;
+}
+
+void Cell::Cancel(const JobId& id,
+                  const TeamId& team,
+                  Time now,
+                  CellDone done) {
+  if (ended_.contains(id)) {
+    done(State(id, team));
+    return;
+  }
+  Job* job = FindJob(id);
+  if (job == nullptr) {
+    done(Refuse(CellVerdict::kUnknownJob, "no such job"));
+    return;
+  }
+  if (job->team != team) {
+    done(Refuse(CellVerdict::kOtherAccount, "job of another account"));
+    return;
+  }
+  if (job->state != JobState::kActive && job->state != JobState::kCancelled) {
+    // Its end is on its way to the store; nothing is left to stop.
+    job->waiting_cancel.push_back(std::move(done));
+    return;
+  }
+  job->waiting_cancel.push_back(std::move(done));
+  if (job->state == JobState::kActive) {
+    LogEvent(Part::kPlacer, "job_cancelled", {{"job", id.value}});
+    EndJob(job, JobState::kCancelled, now);
+  }
+}
+
+/// The job's end is decided: nothing starts any more, and its end is kept.
+void Cell::EndJob(Job* job, JobState state, Time now) {
+  job->state = state;
+  timed_.erase(job->id);
+  StopAll(job, now);
+  const JobId id = job->id;
+  const EndedJob ended{job->team, job->queue, state, wall_ms_};
+  std::vector<std::string> records = {
+      platform::MakeKeyedRecord("p:" + id.value, ProgressOf(*job)),
+      platform::MakeKeyedRecord("s:" + id.value, "")};
+  changed_.erase(id);
+  job->changed = false;
+  port_->Keep(std::move(records), [this, id, ended] { OnEndStored(id, ended); });
+}
+
+void Cell::OnEndStored(const JobId& id, const EndedJob& ended) {
+  auto node = jobs_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  ended_[id] = ended;
+  LogEvent(Part::kPlacer, "job_ended",
+           {{"job", id.value}, {"state", StateName(ended.state)}});
+  const CellOutcome outcome = Accept(StateName(ended.state));
+  for (auto& it : node.mapped().waiting_accept) {
+    it(outcome);
+  }
+  for (auto& it : node.mapped().waiting_cancel) {
+    it(outcome);
+  }
+}
+
+/// Stops every run of a job and takes its steps out of the waiting ones.
+void Cell::StopAll(Job* job, Time now) {
+  for (auto& occurrence : job->occurrences) {
+    for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
+      ready_.erase({job->id, occurrence.first, n});
+    }
+  }
+  const TaskRef first{job->id, 0, 0, 0};
+  for (auto& it : servers_) {
+    auto run = it.second.runs.lower_bound({first, 0});
+    for (; run != it.second.runs.end() && run->first.task.job == job->id;
+         ++run) {
+      SendStop(&it.second, run->first, &run->second, now);
+    }
+  }
+}
+
+uint64_t Cell::CountWaiting(const QueueId& queue) const {
+  uint64_t out = 0;
+  for (const auto& it : jobs_) {
+    if (it.second.queue == queue && it.second.stored && !it.second.started &&
+        it.second.state == JobState::kActive) {
+      ++out;
+    }
+  }
+  return out;
+}
+
+void Cell::Tick(Time now, uint64_t wall_ms) {
+  wall_ms_ = wall_ms;
+  RefuseUnstored(now);
+  const std::set<JobId> timed = timed_;
+  for (const auto& id : timed) {
+    if (Job* job = FindJob(id); job != nullptr && job->stored) {
+      OpenDueOccurrences(job, wall_ms, now);
+    }
+  }
+  std::vector<BackendId> ids;
+  ids.reserve(servers_.size());
+  for (auto& it : servers_) {
+    ids.push_back(it.first);
+  }
+  for (const auto& id : ids) {
+    CheckServer(&servers_.at(id), now);
+    DropServerIfIdle(id);
+  }
+  if (!settled_ && AllSettled(now)) {
+    settled_ = true;
+    LogEvent(Part::kPlacer, "cell_settled",
+             {{"after_ms", AgeMs(loaded_at_, now)}});
+  }
+  constexpr milliseconds kAheadEvery{100};
+  if (now >= next_ahead_) {
+    next_ahead_ = now + kAheadEvery;
+    AskAhead(now);
+  }
+  constexpr milliseconds kSweepEvery{5000};
+  if (now >= next_sweep_) {
+    next_sweep_ = now + kSweepEvery;
+    DropOldJobs(wall_ms);
+  }
+}
+
+void Cell::Run(Time now) {
+  if (port_->MayAct()) {
+    Place(now);
+  }
+  KeepChanges();
+}
+
+Cell::Counts Cell::Count() const {
+  Counts out;
+  out.jobs = jobs_.size();
+  out.servers = servers_.size();
+  out.waiting_steps = ready_.size();
+  for (const auto& it : servers_) {
+    const Server& server = it.second;
+    out.runs += server.runs.size();
+    if (server.known && server.listed && !server.entry.draining) {
+      ++out.usable_servers;
+      out.total_millicores += server.entry.capacity.millicores;
+      out.free_millicores += server.entry.capacity.millicores -
+                             std::min(server.used.millicores,
+                                      server.entry.capacity.millicores);
+    }
+  }
+  return out;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/cell_place.cc
@@ -0,0 +1,527 @@
+// The cell's placing pass: which waiting steps get room, where, and which
+// questions go to the advice service.
+
+#include <algorithm>
+
+#include "cell_base.h"
+#include "event_log_func.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+/// A ticket must stay valid this long after a start is sent.
+constexpr milliseconds kTicketMargin{120};
+/// Time between two questions about one step.
+constexpr milliseconds kAskPause{30};
+/// Advice slower than this is asked for ahead of room.
+constexpr double kSlowAdviceMs = 200;
+/// Slots on good servers wanted for each task: others take some meanwhile.
+constexpr double kSlotsPerTask = 1.3;
+constexpr double kSlotsPerGangTask = 1.6;
+/// Backend servers named in one question at most.
+constexpr size_t kMaxNamed = 40;
+/// First guess of the share of servers that may run a step.
+constexpr double kFirstGoodShare = 0.5;
+constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
+/// Gangs that room is kept for at once.
+constexpr uint32_t kMaxReservations = 3;
+
+int64_t SignedMs(uint64_t n) {
+  return static_cast<int64_t>(n);
+}
+
+Resources Less(Resources a, const Resources& b) {
+  a.millicores -= std::min(a.millicores, b.millicores);
+  a.memory_mb -= std::min(a.memory_mb, b.memory_mb);
+  a.accelerators -= std::min(a.accelerators, b.accelerators);
+  return a;
+}
+
+Resources Times(const Resources& it, uint64_t n) {
+  return {it.millicores * n, it.memory_mb * n, it.accelerators * n};
+}
+
+}  // namespace
+
+/// One placing pass: the free room of all servers, less what steps that came
+/// first took or are kept.
+struct Cell::Pass {
+  Time now;
+  std::vector<Server*> servers;
+  std::vector<ServerRoom> rooms;  ///< Of the step that is being placed.
+  std::vector<Resources> free;
+  uint32_t reservations = 0;
+  std::map<TeamId, Resources> hidden;  ///< May run unseen for a former owner.
+};
+
+Resources Cell::RoomOf(const StepSpec& spec) const {
+  Resources out = spec.need;
+  if (spec.fills) {
+    out.millicores = 0;
+  }
+  return out;
+}
+
+WaitingStep Cell::Describe(const Job& job,
+                           const StepRef& ref,
+                           const Step& step,
+                           Time now) const {
+  WaitingStep out;
+  out.step = ref;
+  out.priority = job.policy.priority;
+  out.over_share = job.over_share;
+  const auto& occurrence = job.occurrences.at(ref.occurrence);
+  std::vector<bool> still_to_do;
+  for (const auto& it : occurrence.steps) {
+    still_to_do.push_back(it.done < it.tasks.size());
+  }
+  out.remaining_ms = SignedMs(LongestChainMs(job.spec, still_to_do));
+  const bool timed = job.spec.start_at_ms > 0 || job.spec.repeat_count > 0;
+  const auto age = SignedMs(AgeMs(timed ? step.waits_since : job.accepted, now));
+  out.objective_in_ms = SignedMs(job.objective.in_time_ms) - age;
+  out.worthless_in_ms = SignedMs(job.objective.late_ms) - age;
+  return out;
+}
+
+void Cell::Place(Time now) {
+  if (ready_.empty() || servers_.empty()) {
+    return;
+  }
+  Pass pass;
+  pass.now = now;
+  for (auto& it : servers_) {
+    Server& server = it.second;
+    const bool open = server.listed && server.known && server.kept &&
+                      !server.entry.draining && server.foreign_runs == 0 &&
+                      server.suspect_until <= now;
+    if (open) {
+      pass.servers.push_back(&server);
+      pass.free.push_back(Less(server.entry.capacity, server.used));
+    }
+  }
+  std::vector<WaitingStep> order;
+  for (auto it = ready_.begin(); it != ready_.end();) {
+    Job* job = nullptr;
+    Step* step = FindStep(*it, &job);
+    if (step == nullptr || job->state != JobState::kActive) {
+      it = ready_.erase(it);
+      continue;
+    }
+    if (!job->inherited || settled_) {
+      order.push_back(Describe(*job, *it, *step, now));
+    }
+    if (!settled_ && job->inherited) {
+      Resources& hidden = pass.hidden[job->team];
+      const auto waits = step->tasks.size() - step->done - step->live;
+      hidden = hidden + Times(job->spec.steps[it->step].need, waits);
+    }
+    ++it;
+  }
+  std::sort(order.begin(), order.end(), ComesBefore);
+  for (const auto& it : order) {
+    PlaceStep(&pass, it.step);
+  }
+}
+
+bool Cell::HasTicket(const Job& job,
+                     const Step& step,
+                     const BackendId& id,
+                     Time now) const {
+  if (!job.policy.advice) {
+    return true;
+  }
+  auto it = step.advice.good.find(id);
+  return it != step.advice.good.end() && it->second.until > now + kTicketMargin;
+}
+
+void Cell::FillRooms(Pass* pass,
+                     const Job& job,
+                     const StepRef& ref,
+                     const Step& step) {
+  const StepSpec& spec = job.spec.steps[ref.step];
+  pass->rooms.resize(pass->servers.size());
+  std::map<BackendId, uint32_t> of_step;
+  std::set<BackendId> failed_on;
+  for (const auto& it : step.tasks) {
+    if (it.phase == TaskPhase::kLive &&
+        (spec.per_server > 0 || spec.perpetual)) {
+      ++of_step[it.where];
+    }
+    if (it.phase == TaskPhase::kWaiting && it.failed_on.IsValid()) {
+      failed_on.insert(it.failed_on);
+    }
+  }
+  for (size_t n = 0; n < pass->servers.size(); ++n) {
+    const Server& server = *pass->servers[n];
+    const auto& labels = server.entry.labels;
+    ServerRoom& room = pass->rooms[n];
+    room = {};
+    room.total = server.entry.capacity;
+    room.free = pass->free[n];
+    room.rack = racks_.try_emplace(server.entry.rack,
+                                   static_cast<uint32_t>(racks_.size()))
+                    .first->second;
+    if (auto it = of_step.find(server.entry.id); it != of_step.end()) {
+      room.of_step = it->second;
+    }
+    room.penalty = server.strikes;
+    if (failed_on.contains(server.entry.id)) {
+      room.penalty += 1;
+    }
+    room.usable =
+        server.entry.service == job.policy.service &&
+        server.avoid_until <= pass->now &&
+        (spec.label.empty() ||
+         std::find(labels.begin(), labels.end(), spec.label) != labels.end());
+    room.near_data =
+        spec.rack.empty() ||
+        std::find(labels.begin(), labels.end(), spec.rack) != labels.end();
+  }
+}
+
+uint32_t Cell::QuotaSlots(const Pass& pass,
+                          const Job& job,
+                          const Resources& need) const {
+  const AccountPolicy* account =
+      config_ ? config_->FindAccount(job.team) : nullptr;
+  if (account == nullptr) {
+    return 0xffffffff;
+  }
+  Resources used;
+  if (auto it = usage_.find(job.team); it != usage_.end()) {
+    used = it->second;
+  }
+  if (auto it = pass.hidden.find(job.team); it != pass.hidden.end()) {
+    used = used + it->second;
+  }
+  const auto slots = [](uint64_t most, uint64_t taken,
+                        uint64_t each) -> uint64_t {
+    if (most == 0 || each == 0) {
+      return 0xffffffff;
+    }
+    return taken >= most ? 0 : (most - taken) / each;
+  };
+  const Resources& most = account->maximum;
+  return static_cast<uint32_t>(std::min<uint64_t>(
+      {0xffffffff, slots(most.millicores, used.millicores, need.millicores),
+       slots(most.memory_mb, used.memory_mb, need.memory_mb),
+       slots(most.accelerators, used.accelerators, need.accelerators)}));
+}
+
+void Cell::PlaceStep(Pass* pass, const StepRef& ref) {
+  Job* job = nullptr;
+  Step* step = FindStep(ref, &job);
+  if (step == nullptr || step->not_before > pass->now || step->breaking) {
+    return;
+  }
+  const StepSpec& spec = job->spec.steps[ref.step];
+  std::vector<uint32_t> waiting;
+  for (uint32_t n = 0; n < step->tasks.size(); ++n) {
+    if (step->tasks[n].phase == TaskPhase::kWaiting) {
+      waiting.push_back(n);
+    }
+  }
+  if (waiting.empty() || (spec.gang && step->live > 0)) {
+    if (waiting.empty()) {
+      ready_.erase(ref);
+    }
+    return;
+  }
+  StepNeed need;
+  need.task = RoomOf(spec);
+  need.count = static_cast<uint32_t>(waiting.size());
+  need.gang = spec.gang;
+  need.per_server = spec.per_server;
+  need.spread = spec.perpetual;
+  const auto waited = static_cast<double>(AgeMs(step->waits_since, pass->now));
+  const double patience = (options_.far_factor - 1) *
+                          static_cast<double>(spec.estimate_ms) / 2;
+  need.same_rack = spec.same_rack && waited < 2 * patience;
+  need.near_only = !spec.rack.empty() && waited < patience;
+  const uint32_t allowed = QuotaSlots(*pass, *job, spec.need);
+  if (allowed == 0 || (spec.gang && allowed < need.count)) {
+    return;
+  }
+  need.count = std::min(need.count, allowed);
+  FillRooms(pass, *job, ref, *step);
+  auto rooms = pass->rooms;
+  for (size_t n = 0; n < rooms.size(); ++n) {
+    pass->rooms[n].usable =
+        rooms[n].usable &&
+        HasTicket(*job, *step, pass->servers[n]->entry.id, pass->now);
+  }
+  const auto fit = FitStep(pass->rooms, need);
+  uint64_t gang_run = 0;
+  for (const auto& it : step->tasks) {
+    gang_run = std::max(gang_run, it.run + 1);
+  }
+  uint32_t placed = 0;
+  for (size_t n = 0; n < fit.size(); ++n) {
+    if (fit[n] == kNoServer) {
+      continue;
+    }
+    Task& task = step->tasks[waiting[n]];
+    const TaskRef task_ref{ref.job, ref.occurrence, ref.step, waiting[n]};
+    StartTask(pass, job, task_ref, step, pass->servers[fit[n]],
+              spec.gang ? gang_run : task.run + 1);
+    pass->free[fit[n]] = Less(pass->free[fit[n]], need.task);
+    ++placed;
+  }
+  if (placed == waiting.size()) {
+    ready_.erase(ref);
+    return;
+  }
+  need.count -= std::min(need.count, placed);
+  if (need.count == 0) {
+    return;
+  }
+  for (size_t n = 0; n < rooms.size(); ++n) {
+    rooms[n].free = pass->free[n];
+  }
+  pass->rooms = std::move(rooms);
+  if (job->policy.advice) {
+    AskForAdvice(pass, job, ref, step, need);
+    for (size_t n = 0; n < pass->rooms.size(); ++n) {
+      pass->rooms[n].usable =
+          pass->rooms[n].usable &&
+          step->advice.good.contains(pass->servers[n]->entry.id);
+    }
+  }
+  if (spec.gang && pass->reservations < kMaxReservations) {
+    Reserve(pass, need);
+  }
+}
+
+/// Keeps room for a gang: what comes later in this pass may not take it.
+void Cell::Reserve(Pass* pass, const StepNeed& need) {
+  const auto kept = ReserveForGang(pass->rooms, need);
+  if (kept.empty()) {
+    return;
+  }
+  ++pass->reservations;
+  for (size_t n = 0; n < kept.size(); ++n) {
+    pass->free[n] = Less(pass->free[n], Times(need.task, kept[n]));
+  }
+}
+
+void Cell::StartTask(Pass* pass,
+                     Job* job,
+                     const TaskRef& ref,
+                     Step* step,
+                     Server* server,
+                     uint64_t run) {
+  const StepSpec& spec = job->spec.steps[ref.step];
+  Task& task = step->tasks[ref.index];
+  task.phase = TaskPhase::kLive;
+  task.where = server->entry.id;
+  task.run = run;
+  step->live += 1;
+  step->started = pass->now;
+  job->started = true;
+  LiveRun live;
+  live.need = spec.need;
+  live.team = job->team;
+  live.sent = pass->now;
+  live.estimate_ms = spec.estimate_ms;
+  server->runs[{ref, run}] = live;
+  server->used = server->used + RoomOf(spec);
+  usage_[job->team] = usage_[job->team] + spec.need;
+  platform::StartOrder order;
+  order.run = {ref, run};
+  order.payload = job->spec.payload;
+  order.fencing_token = options_.fencing_token;
+  order.saved = task.saved;
+  const milliseconds lease = std::min(options_.lease, options_.hold_max);
+  order.lease_end_ms =
+      ClockOf(*server, pass->now) + static_cast<uint64_t>(lease.count());
+  server->lease_end_ms = std::max(server->lease_end_ms, order.lease_end_ms);
+  if (auto it = step->advice.good.find(server->entry.id);
+      it != step->advice.good.end()) {
+    order.ticket = it->second.text;
+  }
+  LogEvent(Part::kPlacer, "run_start",
+           {{"task", platform::TaskName(ref)},
+            {"run", run},
+            {"backend", server->entry.id.value},
+            {"free", Less(server->entry.capacity, server->used).millicores},
+            {"waited_ms", AgeMs(step->waits_since, pass->now)}});
+  port_->Start(server->entry, std::move(order));
+}
+
+void Cell::AskForAdvice(Pass* pass,
+                        Job* job,
+                        const StepRef& ref,
+                        Step* step,
+                        const StepNeed& need) {
+  AdviceState& advice = step->advice;
+  const AdvicePolicy& policy = *job->policy.advice;
+  if (advice.asking || advice.next_ask > pass->now) {
+    return;
+  }
+  auto [share, added] = good_share_.try_emplace(job->queue, kFirstGoodShare);
+  const bool slow = policy.base_ms > kSlowAdviceMs;
+  const double wanted =
+      need.count * (need.gang ? kSlotsPerGangTask : kSlotsPerTask);
+  const Time renew_at =
+      pass->now + kTicketMargin +
+      std::chrono::duration_cast<Duration>(
+          std::chrono::duration<double, std::milli>(slow ? policy.base_ms : 0));
+  struct Named {
+    uint32_t server = 0;
+    uint64_t rank = 0;
+    double slots = 0;
+  };
+  std::vector<Named> candidates;
+  double expected = 0;
+  for (uint32_t n = 0; n < pass->rooms.size(); ++n) {
+    const ServerRoom& room = pass->rooms[n];
+    const BackendId& id = pass->servers[n]->entry.id;
+    if (!room.usable || advice.bad.contains(id)) {
+      continue;
+    }
+    const uint32_t now_slots = SlotsIn(room, room.free, need);
+    const uint32_t slots = now_slots > 0 ? now_slots
+                           : need.gang || slow ? SlotsIn(room, room.total, need)
+                                               : 0;
+    if (slots == 0) {
+      continue;
+    }
+    auto good = advice.good.find(id);
+    if (good != advice.good.end() && good->second.until > renew_at) {
+      expected += slots;
+      continue;
+    }
+    const bool known = good != advice.good.end();
+    const uint64_t free = room.free.millicores;
+    constexpr uint64_t kKnownBonus = 1ULL << 40;
+    constexpr uint64_t kLargest = 1ULL << 39;
+    uint64_t rank = need.gang ? kLargest - std::min(free, kLargest) : free;
+    rank += known ? 0 : kKnownBonus;
+    rank += now_slots > 0 ? 0 : 2 * kKnownBonus;
+    candidates.push_back({n, rank, known ? slots : slots * share->second});
+  }
+  if (expected >= wanted || candidates.empty()) {
+    return;
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Named& a, const Named& b) {
+              return a.rank != b.rank ? a.rank < b.rank : a.server < b.server;
+            });
+  std::vector<BackendId> names;
+  for (const auto& it : candidates) {
+    if (expected >= wanted || names.size() >= kMaxNamed) {
+      break;
+    }
+    expected += it.slots;
+    names.push_back(pass->servers[it.server]->entry.id);
+  }
+  const milliseconds time(static_cast<int64_t>(
+      policy.base_ms + policy.per_server_ms * static_cast<double>(names.size())));
+  if (port_->AskAdvice(ref, names, time)) {
+    advice.asking = true;
+  }
+}
+
+void Cell::OnAdvice(const StepRef& ref,
+                    const std::vector<BackendId>& asked,
+                    const platform::AdviceAnswer& answer,
+                    Time now) {
+  Job* job = nullptr;
+  Step* step = FindStep(ref, &job);
+  if (step == nullptr || !job->policy.advice) {
+    return;
+  }
+  AdviceState& advice = step->advice;
+  advice.asking = false;
+  advice.next_ask = now + (answer.answered ? kAskPause : 4 * kAskPause);
+  if (!answer.answered) {
+    return;
+  }
+  const uint64_t valid_ms =
+      answer.valid_ms > 0 ? answer.valid_ms : job->policy.advice->valid_ms;
+  uint32_t new_names = 0;
+  uint32_t new_good = 0;
+  for (const auto& id : asked) {
+    const bool known = advice.good.contains(id);
+    const bool good =
+        std::any_of(answer.good.begin(), answer.good.end(),
+                    [&](const Ticket& it) { return it.backend == id; });
+    new_names += known ? 0 : 1;
+    new_good += !known && good ? 1 : 0;
+    if (!good) {
+      advice.bad.insert(id);
+      advice.good.erase(id);
+    }
+  }
+  for (const auto& it : answer.good) {
+    advice.good[it.backend] = {it.text, now + milliseconds(valid_ms)};
+  }
+  if (new_names > 0) {
+    double& share = good_share_[job->queue];
+    share += kGoodShareWeight *
+             (static_cast<double>(new_good) / new_names - share);
+    constexpr double kLeastShare = 0.05;
+    share = std::max(share, kLeastShare);
+  }
+}
+
+/// Asks for the advice of steps that become ready soon, so that it is there
+/// when they do.
+void Cell::AskAhead(Time now) {
+  if (!port_->MayAct()) {
+    return;
+  }
+  Pass pass;
+  pass.now = now;
+  for (auto& it : servers_) {
+    Server& server = it.second;
+    if (server.listed && server.known && !server.entry.draining &&
+        server.suspect_until <= now) {
+      pass.servers.push_back(&server);
+      pass.free.push_back(Less(server.entry.capacity, server.used));
+    }
+  }
+  for (auto& it : jobs_) {
+    Job& job = it.second;
+    if (job.spec.steps.size() < 2 || !job.policy.advice ||
+        job.state != JobState::kActive || (job.inherited && !settled_)) {
+      continue;
+    }
+    for (auto& occurrence : job.occurrences) {
+      auto& steps = occurrence.second.steps;
+      for (uint32_t n = 0; n < steps.size(); ++n) {
+        Step& step = steps[n];
+        if (step.ready || step.advice.asking) {
+          continue;
+        }
+        const auto& after = job.spec.steps[n].after;
+        const bool soon =
+            std::all_of(after.begin(), after.end(), [&](uint32_t b) {
+              const Step& before = steps[b];
+              const bool running = before.done + before.live ==
+                                   before.tasks.size();
+              const double left =
+                  static_cast<double>(job.spec.steps[b].estimate_ms) -
+                  static_cast<double>(AgeMs(before.started, now));
+              constexpr double kAheadMs = 300;
+              return before.done == before.tasks.size() ||
+                     (running && left < job.policy.advice->base_ms + kAheadMs);
+            });
+        if (!soon) {
+          continue;
+        }
+        const StepRef ref{job.id, occurrence.first, n};
+        StepNeed need;
+        need.task = RoomOf(job.spec.steps[n]);
+        need.count = job.spec.steps[n].count;
+        need.gang = job.spec.steps[n].gang;
+        need.per_server = job.spec.steps[n].per_server;
+        FillRooms(&pass, job, ref, step);
+        AskForAdvice(&pass, &job, ref, &step, need);
+      }
+    }
+  }
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/cell_record.cc
@@ -0,0 +1,347 @@
+// What a cell keeps in the store, one key for each thing: "s:JOB" is a job as
+// handed in, until it ends; "p:JOB" is its progress and then its end;
+// "b:BACKEND" is a backend server that may run something.
+
+#include <algorithm>
+
+#include "cell_base.h"
+#include "event_log_func.h"
+#include "platform/ingress.h"
+#include "platform/store.h"
+#include "proto/bw.pb.h"
+
+namespace bw {
+namespace {
+
+/// Ended jobs are kept longer than callers were promised, as clocks differ.
+constexpr uint64_t kStatusSlackMs = 30'000;
+
+std::string PackDone(const std::vector<bool>& done) {
+  std::string out((done.size() + 7) / 8, '\0');
+  for (size_t n = 0; n < done.size(); ++n) {
+    if (done[n]) {
+      out[n / 8] = static_cast<char>(out[n / 8] | (1 << (n % 8)));
+    }
+  }
+  return out;
+}
+
+bool IsDone(const std::string& packed, size_t n) {
+  return n / 8 < packed.size() && ((packed[n / 8] >> (n % 8)) & 1) != 0;
+}
+
+Resources ToResources(const proto::BackendRecord& in) {
+  return {in.millicores(), in.memory_mb(), in.accelerators()};
+}
+
+}  // namespace
+
+std::string Cell::ProgressOf(const Job& job) const {
+  proto::JobProgress out;
+  out.set_state(static_cast<uint32_t>(job.state));
+  out.set_team(job.team.value);
+  out.set_queue(job.queue.value);
+  out.set_started(job.started);
+  out.set_first_occurrence(job.first_occurrence);
+  if (job.state != JobState::kActive) {
+    out.set_ended_ms(wall_ms_);
+    return out.SerializeAsString();
+  }
+  for (const auto& occurrence : job.occurrences) {
+    for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
+      const Step& step = occurrence.second.steps[n];
+      auto* it = out.add_steps();
+      it->set_occurrence(occurrence.first);
+      it->set_step(n);
+      it->set_gang_failures(step.gang_failures);
+      std::vector<bool> done;
+      for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        const Task& task = step.tasks[i];
+        done.push_back(task.phase == TaskPhase::kDone);
+        if (task.failures > 0) {
+          auto* failed = it->add_failed();
+          failed->set_index(i);
+          failed->set_failures(task.failures);
+        }
+        if (!task.saved.empty() && task.phase != TaskPhase::kDone) {
+          auto* saved = it->add_saved();
+          saved->set_index(i);
+          saved->set_checkpoint(task.saved);
+        }
+      }
+      it->set_done(PackDone(done));
+    }
+  }
+  return out.SerializeAsString();
+}
+
+/// Keeps the progress of all jobs that changed, then lets the backend servers
+/// forget the ends behind it.
+void Cell::KeepChanges() {
+  if (changed_.empty() && to_acknowledge_.empty()) {
+    return;
+  }
+  std::vector<std::string> records;
+  for (const auto& id : changed_) {
+    if (Job* job = FindJob(id); job != nullptr && job->changed) {
+      job->changed = false;
+      records.push_back(
+          platform::MakeKeyedRecord("p:" + id.value, ProgressOf(*job)));
+    }
+  }
+  changed_.clear();
+  auto ends = std::move(to_acknowledge_);
+  to_acknowledge_.clear();
+  std::vector<std::pair<uint64_t, std::pair<BackendId, uint64_t>>> stored;
+  for (const auto& it : ends) {
+    if (auto server = servers_.find(it.first); server != servers_.end()) {
+      stored.push_back({server->second.entry.incarnation,
+                        {it.first, it.second}});
+    }
+  }
+  port_->Keep(std::move(records), [this, stored] {
+    for (const auto& it : stored) {
+      auto server = servers_.find(it.second.first);
+      if (server != servers_.end() &&
+          server->second.entry.incarnation == it.first) {
+        server->second.acknowledged =
+            std::max(server->second.acknowledged, it.second.second);
+      }
+    }
+  });
+}
+
+void Cell::KeepServer(Server* server) {
+  server->keeping = true;
+  const BackendEntry& entry = server->entry;
+  proto::BackendRecord record;
+  record.set_service(entry.service);
+  record.set_address(entry.address);
+  record.set_zone(entry.zone.value);
+  record.set_incarnation(entry.incarnation);
+  record.set_millicores(entry.capacity.millicores);
+  record.set_memory_mb(entry.capacity.memory_mb);
+  record.set_accelerators(entry.capacity.accelerators);
+  record.set_rack(entry.rack);
+  for (const auto& it : entry.labels) {
+    record.add_labels(it);
+  }
+  const uint64_t incarnation = entry.incarnation;
+  port_->Keep({platform::MakeKeyedRecord("b:" + entry.id.value,
+                                         record.SerializeAsString())},
+              [this, id = entry.id, incarnation] {
+                auto it = servers_.find(id);
+                if (it != servers_.end() &&
+                    it->second.entry.incarnation == incarnation) {
+                  it->second.kept = true;
+                  it->second.keeping = false;
+                }
+              });
+}
+
+void Cell::Load(const std::string& key, const std::string& value, Time now) {
+  constexpr size_t kKindLength = 2;
+  if (key.size() <= kKindLength || value.empty()) {
+    return;
+  }
+  const std::string name = key.substr(kKindLength);
+  if (key.starts_with("s:")) {
+    LoadJob(JobId(name), value, now);
+  } else if (key.starts_with("p:")) {
+    LoadProgress(JobId(name), value);
+  } else if (key.starts_with("b:")) {
+    LoadBackend(BackendId(name), value, now);
+  } else {
+    LogEvent(Part::kPlacer, "record_unreadable", {{"key", key}});
+  }
+}
+
+void Cell::LoadJob(const JobId& id, const std::string& value, Time now) {
+  proto::JobRecord record;
+  Job job;
+  if (!record.ParseFromString(value) ||
+      platform::ReadBatchSpec(record.body(), &job.spec) !=
+          platform::SpecFault::kNone) {
+    LogEvent(Part::kPlacer, "record_unreadable", {{"job", id.value}});
+    return;
+  }
+  job.id = id;
+  job.team = TeamId(record.team());
+  job.queue = QueueId(record.queue());
+  job.body = record.body();
+  job.accepted_ms = record.accepted_ms();
+  job.accepted =
+      now - milliseconds(wall_ms_ > job.accepted_ms ? wall_ms_ - job.accepted_ms
+                                                    : 0);
+  job.over_share = record.over_share();
+  job.inherited = true;
+  job.stored = true;
+  const QueuePolicy* policy =
+      config_ ? config_->FindQueue(job.queue) : nullptr;
+  if (policy != nullptr) {
+    job.policy = *policy;
+  } else {
+    job.policy.name = job.queue;
+    job.policy.service = record.service();
+    job.policy.max_attempts = record.max_attempts();
+  }
+  job.objective = ObjectiveOf(job.policy, LongestChainMs(job.spec, {}));
+  jobs_[id] = std::move(job);
+}
+
+void Cell::LoadProgress(const JobId& id, const std::string& value) {
+  proto::JobProgress record;
+  if (!record.ParseFromString(value)) {
+    LogEvent(Part::kPlacer, "record_unreadable", {{"job", id.value}});
+    return;
+  }
+  if (record.state() != 0) {
+    ended_[id] = {TeamId(record.team()), QueueId(record.queue()),
+                  static_cast<JobState>(record.state()), record.ended_ms()};
+  } else {
+    loaded_progress_[id] = value;
+  }
+}
+
+void Cell::LoadBackend(const BackendId& id,
+                       const std::string& value,
+                       Time now) {
+  proto::BackendRecord record;
+  if (!record.ParseFromString(value)) {
+    LogEvent(Part::kPlacer, "record_unreadable", {{"backend", id.value}});
+    return;
+  }
+  Server& server = servers_[id];
+  server.entry.id = id;
+  server.entry.service = record.service();
+  server.entry.address = record.address();
+  server.entry.zone = ZoneId(record.zone());
+  server.entry.incarnation = record.incarnation();
+  server.entry.capacity = ToResources(record);
+  server.entry.labels.assign(record.labels().begin(), record.labels().end());
+  server.entry.rack = record.rack();
+  server.kept = true;
+  // A lease that a former owner granted last, on a clock that is 2% slow.
+  constexpr double kSlowestClock = 0.98;
+  constexpr milliseconds kSlack{500};
+  server.clear_at =
+      now +
+      std::chrono::duration_cast<Duration>(options_.hold_max / kSlowestClock) +
+      kSlack;
+}
+
+void Cell::ApplyProgress(Job* job, const std::string& value, Time now) {
+  proto::JobProgress record;
+  record.ParseFromString(value);
+  job->started = record.started();
+  job->first_occurrence = record.first_occurrence();
+  job->next_occurrence = record.first_occurrence();
+  for (const auto& it : record.steps()) {
+    if (!job->occurrences.contains(it.occurrence())) {
+      AddOccurrence(job, it.occurrence(), now);
+    }
+    auto& steps = job->occurrences[it.occurrence()].steps;
+    if (it.step() >= steps.size()) {
+      continue;
+    }
+    Step& step = steps[it.step()];
+    step.gang_failures = it.gang_failures();
+    for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+      if (IsDone(it.done(), n)) {
+        step.tasks[n].phase = TaskPhase::kDone;
+        ++step.done;
+      }
+    }
+    for (const auto& row : it.failed()) {
+      if (row.index() < step.tasks.size()) {
+        step.tasks[row.index()].failures = row.failures();
+      }
+    }
+    for (const auto& row : it.saved()) {
+      if (row.index() < step.tasks.size()) {
+        step.tasks[row.index()].saved = row.checkpoint();
+      }
+    }
+  }
+}
+
+/// A former owner may have kept the last progress but not the end.
+void Cell::EndDecidedJobs(Time now) {
+  for (auto& it : jobs_) {
+    Job& job = it.second;
+    bool done = !job.occurrences.empty() &&
+                job.next_occurrence >=
+                    std::max<uint64_t>(1, job.spec.repeat_count);
+    bool failed = false;
+    for (const auto& occurrence : job.occurrences) {
+      const auto& steps = occurrence.second.steps;
+      done = done && occurrence.second.steps_done == steps.size();
+      for (size_t n = 0; n < steps.size(); ++n) {
+        uint32_t failures = steps[n].gang_failures;
+        for (const auto& task : steps[n].tasks) {
+          failures = std::max(failures, task.failures);
+        }
+        failed = failed || (!job.spec.steps[n].perpetual &&
+                            failures >= job.policy.max_attempts);
+      }
+    }
+    if (done || failed) {
+      EndJob(&job, failed ? JobState::kFailed : JobState::kCompleted, now);
+    }
+  }
+}
+
+void Cell::OnLoaded(Time now) {
+  loaded_at_ = now;
+  for (auto& it : jobs_) {
+    Job* job = &it.second;
+    auto progress = loaded_progress_.find(it.first);
+    if (progress != loaded_progress_.end()) {
+      ApplyProgress(job, progress->second, now);
+    }
+    if (job->spec.repeat_count > 0 || job->spec.start_at_ms > 0) {
+      timed_.insert(it.first);
+      OpenDueOccurrences(job, wall_ms_, now);
+    } else if (job->occurrences.empty()) {
+      AddOccurrence(job, 0, now);
+    }
+    for (auto& occurrence : job->occurrences) {
+      occurrence.second.steps_done = static_cast<uint32_t>(std::count_if(
+          occurrence.second.steps.begin(), occurrence.second.steps.end(),
+          [](const Step& step) { return step.done == step.tasks.size(); }));
+      for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
+        const Step& step = occurrence.second.steps[n];
+        if (step.done == step.tasks.size()) {
+          ready_.erase({it.first, occurrence.first, n});
+        }
+      }
+      UpdateReady(job, occurrence.first, now);
+    }
+  }
+  loaded_progress_.clear();
+  EndDecidedJobs(now);
+  LogEvent(Part::kPlacer, "cell_loaded",
+           {{"jobs", jobs_.size()},
+            {"ended", ended_.size()},
+            {"backends", servers_.size()},
+            {"token", options_.fencing_token}});
+}
+
+void Cell::DropOldJobs(uint64_t wall_ms) {
+  const uint64_t kept =
+      static_cast<uint64_t>(options_.status_kept.count()) + kStatusSlackMs;
+  std::vector<std::string> records;
+  for (auto it = ended_.begin(); it != ended_.end();) {
+    if (wall_ms > it->second.ended_ms + kept) {
+      records.push_back(platform::MakeKeyedRecord("p:" + it->first.value, ""));
+      it = ended_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (!records.empty()) {
+    port_->Keep(std::move(records), [] {});
+  }
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/cell_server.cc
@@ -0,0 +1,763 @@
+// The cell's backend servers: their lists, leases and runs.
+
+#include <algorithm>
+
+#include "cell_base.h"
+#include "event_log_func.h"
+#include "platform/store.h"
+
+namespace bw {
+namespace {
+
+/// Backend servers' clocks may be this slow: PROTOCOL, "Running tasks".
+constexpr double kSlowestClock = 0.98;
+/// Between the end of a lease on that clock and the certainty that it ended.
+constexpr uint64_t kLapseSlackMs = 100;
+/// A look at a backend server that runs something waits this long for an end.
+constexpr uint64_t kLookWaitMs = 2000;
+/// Pause after a look that brought ends, so that the next brings several.
+constexpr milliseconds kLookPause{60};
+/// Pause after a look that got no answer.
+constexpr milliseconds kLookRetry{300};
+/// A stop without an answer is sent again after this.
+constexpr milliseconds kStopRetry{500};
+/// A backend server that did not answer gets no work for this long, unless it
+/// answers before.
+constexpr milliseconds kSuspectFor{10'000};
+/// Failures in a row after which a backend server is avoided, and how long.
+constexpr uint32_t kStrikesToAvoid = 2;
+constexpr milliseconds kAvoidFor{4'000};
+/// A running task that used no processor time for this long stands still.
+constexpr milliseconds kIdleLimit{1'500};
+
+const Resources& Subtract(Resources* from, const Resources& it) {
+  from->millicores -= std::min(from->millicores, it.millicores);
+  from->memory_mb -= std::min(from->memory_mb, it.memory_mb);
+  from->accelerators -= std::min(from->accelerators, it.accelerators);
+  return *from;
+}
+
+}  // namespace
+
+void Cell::SetBackend(const BackendEntry& entry, Time now) {
+  auto [it, added] = servers_.try_emplace(entry.id);
+  Server& server = it->second;
+  const bool dated = entry.incarnation != 0;
+  if (!added && dated && entry.incarnation < server.entry.incarnation) {
+    return;
+  }
+  const bool reborn = !added && dated && server.entry.incarnation != 0 &&
+                      entry.incarnation != server.entry.incarnation;
+  if (reborn) {
+    ForgetIncarnation(&server, now);
+  }
+  if (added || reborn || !server.listed ||
+      entry.draining != server.entry.draining) {
+    LogEvent(Part::kPlacer, "backend_listed",
+             {{"backend", entry.id.value},
+              {"service", entry.service},
+              {"incarnation", entry.incarnation},
+              {"draining", entry.draining},
+              {"millicores", entry.capacity.millicores},
+              {"rack", entry.rack}});
+  }
+  const bool same = server.kept && entry.address == server.entry.address &&
+                    entry.capacity == server.entry.capacity && !reborn;
+  const uint64_t incarnation =
+      dated ? entry.incarnation : server.entry.incarnation;
+  server.entry = entry;
+  server.entry.incarnation = incarnation;
+  server.listed = true;
+  if (!same && !server.keeping) {
+    server.kept = false;
+  }
+}
+
+void Cell::DropBackend(const BackendId& id) {
+  auto it = servers_.find(id);
+  if (it == servers_.end() || !it->second.listed) {
+    return;
+  }
+  it->second.listed = false;
+  LogEvent(Part::kPlacer, "backend_unlisted",
+           {{"backend", id.value}, {"runs", it->second.runs.size()}});
+}
+
+void Cell::DropBackendsBut(const std::set<std::string>& listed) {
+  std::vector<BackendId> gone;
+  for (const auto& it : servers_) {
+    if (!listed.contains(it.first.value)) {
+      gone.push_back(it.first);
+    }
+  }
+  for (const auto& id : gone) {
+    DropBackend(id);
+  }
+}
+
+/// The backend server crashed and started again: it runs nothing of before.
+/// Orders without an answer may still be executed there.
+void Cell::ForgetIncarnation(Server* server, Time now) {
+  std::vector<RunRef> lost;
+  for (auto& it : server->runs) {
+    if (it.second.phase == RunPhase::kDoubt ||
+        it.second.phase == RunPhase::kStarting) {
+      it.second.stop_answered = kNever;
+      it.second.stop_sent = kNever;
+    } else {
+      lost.push_back(it.first);
+    }
+  }
+  server->known = false;
+  server->kept = false;
+  server->keeping = false;
+  server->clock_ms = 0;
+  server->clock_at = kNever;
+  server->lease_end_ms = 0;
+  server->last_end = 0;
+  server->acknowledged = 0;
+  server->strikes = 0;
+  server->next_hold = kNever;
+  to_acknowledge_.erase(server->entry.id);
+  server->clear_at = now + std::chrono::duration_cast<Duration>(
+                               options_.hold_max / kSlowestClock) +
+                     milliseconds(kLapseSlackMs);
+  for (const auto& it : lost) {
+    OnGone(server, it, "new incarnation", now);
+  }
+}
+
+void Cell::DropServerIfIdle(const BackendId& id) {
+  auto it = servers_.find(id);
+  if (it == servers_.end() || it->second.listed || !it->second.runs.empty() ||
+      it->second.hold_in_flight) {
+    return;
+  }
+  Server& server = it->second;
+  if (!server.known && server.clear_at != kNever) {
+    return;  // A former owner's runs may be hidden there.
+  }
+  const bool kept = server.kept || server.keeping;
+  servers_.erase(it);
+  if (kept) {
+    port_->Keep({platform::MakeKeyedRecord("b:" + id.value, "")}, [] {});
+  }
+}
+
+uint64_t Cell::ClockOf(const Server& server, Time now) const {
+  return server.clock_ms + AgeMs(server.clock_at, now);
+}
+
+bool Cell::LeasesLapsed(const Server& server, Time now) const {
+  if (server.clock_at == kNever) {
+    return server.clear_at == kNever || now >= server.clear_at;
+  }
+  const auto passed = static_cast<uint64_t>(
+      static_cast<double>(AgeMs(server.clock_at, now)) * kSlowestClock);
+  return server.clock_ms + passed > server.lease_end_ms + kLapseSlackMs;
+}
+
+bool Cell::AllSettled(Time now) const {
+  return std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+    return it.second.known || it.second.clear_at == kNever ||
+           now >= it.second.clear_at;
+  });
+}
+
+void Cell::CheckServer(Server* server, Time now) {
+  if (!server->known && server->clear_at != kNever &&
+      now >= server->clear_at && server->clock_at == kNever) {
+    server->clear_at = kNever;
+  }
+  if (!server->runs.empty() && LeasesLapsed(*server, now)) {
+    std::vector<RunRef> lost;
+    for (const auto& it : server->runs) {
+      lost.push_back(it.first);
+    }
+    for (const auto& it : lost) {
+      OnGone(server, it, "leases lapsed", now);
+    }
+    server->known = false;
+  }
+  if (server->listed && !server->kept && !server->keeping) {
+    KeepServer(server);
+  }
+  const bool wanted = (server->listed && !server->known) ||
+                      (!server->known && server->clear_at != kNever) ||
+                      !server->runs.empty();
+  if (wanted && !server->hold_in_flight && now >= server->next_hold) {
+    SendHold(server, now);
+  }
+  for (auto& it : server->runs) {
+    LiveRun& live = it.second;
+    const bool stopping =
+        live.phase == RunPhase::kStopping || live.phase == RunPhase::kDoubt;
+    if (stopping && !live.stop_in_flight && live.stop_answered == kNever &&
+        (live.stop_sent == kNever || now - live.stop_sent > kStopRetry)) {
+      SendStop(server, it.first, &live, now);
+    }
+  }
+  if (server->entry.draining && server->listed) {
+    Evacuate(server, now);
+  }
+}
+
+void Cell::SendHold(Server* server, Time now) {
+  platform::HoldOrder order;
+  order.fencing_token = options_.fencing_token;
+  order.acknowledged = server->acknowledged;
+  if (server->clock_at != kNever && server->known) {
+    if (port_->MayAct()) {
+      const milliseconds lease =
+          port_->IsSettled() ? std::min(options_.lease, options_.hold_max)
+                             : options_.hold_max;
+      order.lease_end_ms =
+          ClockOf(*server, now) + static_cast<uint64_t>(lease.count());
+      server->lease_end_ms =
+          std::max(server->lease_end_ms, *order.lease_end_ms);
+    }
+    order.wait_ms = server->runs.empty() ? 0 : kLookWaitMs;
+  }
+  server->hold_in_flight = true;
+  port_->Hold(server->entry, order);
+}
+
+void Cell::SendStop(Server* server,
+                    const RunRef& run,
+                    LiveRun* live,
+                    Time now) {
+  if (live->phase != RunPhase::kDoubt) {
+    live->phase = RunPhase::kStopping;
+  }
+  if (live->stop_in_flight) {
+    return;
+  }
+  live->stop_in_flight = true;
+  live->stop_sent = now;
+  port_->Stop(server->entry, run);
+}
+
+void Cell::OnStopAnswer(const BackendId& backend,
+                        const RunRef& run,
+                        OrderVerdict verdict,
+                        Time now) {
+  auto it = servers_.find(backend);
+  if (it == servers_.end()) {
+    return;
+  }
+  auto live = it->second.runs.find(run);
+  if (live == it->second.runs.end()) {
+    return;
+  }
+  live->second.stop_in_flight = false;
+  if (verdict == OrderVerdict::kDone) {
+    live->second.stop_answered = now;
+    it->second.next_hold = kNever;
+  } else if (verdict == OrderVerdict::kFenced) {
+    port_->OnFenced();
+  }
+}
+
+void Cell::OnStartAnswer(const BackendId& backend,
+                         const RunRef& run,
+                         OrderVerdict verdict,
+                         Time sent,
+                         Time now) {
+  if (verdict == OrderVerdict::kFenced) {
+    port_->OnFenced();
+    return;
+  }
+  auto it = servers_.find(backend);
+  if (it == servers_.end()) {
+    return;
+  }
+  Server* server = &it->second;
+  auto found = server->runs.find(run);
+  if (found == server->runs.end()) {
+    return;
+  }
+  LiveRun* live = &found->second;
+  if (verdict == OrderVerdict::kDone) {
+    live->answered = now;
+    if (live->phase == RunPhase::kStarting) {
+      live->phase = RunPhase::kRunning;
+    }
+    return;
+  }
+  if (verdict == OrderVerdict::kUnknown) {
+    LogEvent(Part::kPlacer, "start_unknown",
+             {{"task", platform::TaskName(run.task)},
+              {"run", run.number},
+              {"backend", backend.value},
+              {"after_ms", AgeMs(sent, now)}});
+    live->phase = RunPhase::kDoubt;
+    server->suspect_until = now + kSuspectFor;
+    SendStop(server, run, live, now);
+    return;
+  }
+  Job* job = nullptr;
+  Step* step = nullptr;
+  if (FindTask(run.task, &job, &step) != nullptr) {
+    if (verdict == OrderVerdict::kNoTicket) {
+      step->advice.good.erase(backend);
+    }
+    constexpr milliseconds kPause{200};
+    if (verdict == OrderVerdict::kInvalid ||
+        verdict == OrderVerdict::kNoRoom) {
+      step->not_before = now + kPause;
+    }
+  }
+  if (verdict == OrderVerdict::kUnhealthy) {
+    Strike(server, now);
+  }
+  if (verdict == OrderVerdict::kNotSent ||
+      verdict == OrderVerdict::kOtherIncarnation ||
+      verdict == OrderVerdict::kExpired || verdict == OrderVerdict::kNoRoom) {
+    server->known = false;  // Read its lists again before the next start.
+    server->suspect_until = now + kSuspectFor;
+  }
+  OnGone(server, run, VerdictName(verdict), now);
+}
+
+void Cell::OnReport(const BackendId& backend,
+                    const BackendReport& report,
+                    Time sent,
+                    Time now) {
+  auto it = servers_.find(backend);
+  if (it == servers_.end()) {
+    return;
+  }
+  Server* server = &it->second;
+  server->hold_in_flight = false;
+  if (report.verdict == OrderVerdict::kFenced) {
+    port_->OnFenced();
+    return;
+  }
+  if (report.verdict != OrderVerdict::kDone) {
+    if (server->suspect_until <= now) {
+      LogEvent(Part::kPlacer, "backend_lost",
+               {{"backend", backend.value},
+                {"verdict", VerdictName(report.verdict)},
+                {"runs", server->runs.size()},
+                {"last_answer_ms", AgeMs(server->clock_at, now)}});
+    }
+    server->suspect_until = now + kSuspectFor;
+    server->next_hold = now + kLookRetry;
+    return;
+  }
+  if (server->entry.incarnation == 0) {
+    server->entry.incarnation = report.incarnation;
+  }
+  if (report.incarnation != 0 &&
+      report.incarnation != server->entry.incarnation) {
+    if (report.incarnation < server->entry.incarnation) {
+      server->next_hold = now + kLookRetry;
+      return;
+    }
+    LogEvent(Part::kPlacer, "backend_reborn",
+             {{"backend", backend.value},
+              {"incarnation", report.incarnation},
+              {"was", server->entry.incarnation}});
+    ForgetIncarnation(server, now);
+    server->entry.incarnation = report.incarnation;
+    server->listed = false;  // Its new entry says what it is now.
+  }
+  if (server->suspect_until > now) {
+    LogEvent(Part::kPlacer, "backend_back", {{"backend", backend.value}});
+  }
+  server->suspect_until = kNever;
+  server->known = true;
+  server->clear_at = kNever;
+  server->clock_ms = report.clock_ms;
+  server->clock_at = now;
+  server->next_hold = report.ended.empty() ? now : now + kLookPause;
+  TakeEnds(server, report, now);
+  TakeRunning(server, report, sent, now);
+}
+
+void Cell::TakeEnds(Server* server, const BackendReport& report, Time now) {
+  auto ends = report.ended;
+  std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) {
+    return a.number < b.number;
+  });
+  for (const auto& it : ends) {
+    if (it.number <= server->last_end) {
+      continue;
+    }
+    server->last_end = it.number;
+    OnEnd(server, it, now);
+    to_acknowledge_[server->entry.id] = it.number;
+  }
+}
+
+void Cell::TakeRunning(Server* server,
+                       const BackendReport& report,
+                       Time sent,
+                       Time now) {
+  std::set<RunRef> listed;
+  for (const auto& row : report.running) {
+    listed.insert(row.run);
+    auto found = server->runs.find(row.run);
+    if (found == server->runs.end()) {
+      Adopt(server, row, now);
+      continue;
+    }
+    LiveRun* live = &found->second;
+    live->saved = row.saved;
+    if (live->phase == RunPhase::kDoubt && live->stop_sent == kNever) {
+      live->phase = RunPhase::kRunning;
+      live->answered = now;
+    }
+    NoteIdle(server, row, live, now);
+  }
+  std::vector<RunRef> gone;
+  for (const auto& it : server->runs) {
+    const LiveRun& live = it.second;
+    const Time sure_from =
+        live.phase == RunPhase::kDoubt ? live.stop_answered : live.answered;
+    if (!listed.contains(it.first) && sure_from != kNever &&
+        sure_from < sent) {
+      gone.push_back(it.first);
+    }
+  }
+  for (const auto& it : gone) {
+    OnGone(server, it, "not on the backend server's lists", now);
+  }
+}
+
+/// A run that this owner did not start, or had given up.
+void Cell::Adopt(Server* server, const ListedRun& row, Time now) {
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = FindTask(row.run.task, &job, &step);
+  LiveRun live;
+  live.phase = RunPhase::kRunning;
+  live.sent = now;
+  live.answered = now;
+  live.saved = row.saved;
+  if (task == nullptr) {
+    live.foreign = true;
+    ++server->foreign_runs;
+  } else {
+    const StepSpec& spec = job->spec.steps[row.run.task.step];
+    live.need = spec.need;
+    live.team = job->team;
+    live.estimate_ms = spec.estimate_ms;
+    const Resources room = RoomOf(spec);
+    server->used = server->used + room;
+    usage_[live.team] = usage_[live.team] + live.need;
+  }
+  const bool wanted = task != nullptr && job->state == JobState::kActive &&
+                      task->phase == TaskPhase::kWaiting && !settled_;
+  auto& added = server->runs[row.run] = live;
+  LogEvent(Part::kPlacer, wanted ? "run_adopted" : "run_unwanted",
+           {{"task", platform::TaskName(row.run.task)},
+            {"run", row.run.number},
+            {"backend", server->entry.id.value}});
+  if (!wanted) {
+    SendStop(server, row.run, &added, now);
+    return;
+  }
+  task->phase = TaskPhase::kLive;
+  task->where = server->entry.id;
+  task->run = row.run.number;
+  step->live += 1;
+  step->started = now;
+  job->started = true;
+}
+
+void Cell::NoteIdle(Server* server,
+                    const ListedRun& row,
+                    LiveRun* live,
+                    Time now) {
+  Job* job = nullptr;
+  Step* step = nullptr;
+  if (row.figure > 0 || row.percent == 0 ||
+      live->phase != RunPhase::kRunning ||
+      FindTask(row.run.task, &job, &step) == nullptr ||
+      job->spec.steps[row.run.task.step].target_ms > 0 ||
+      job->spec.steps[row.run.task.step].fills) {
+    live->idle_since = kNever;
+    return;
+  }
+  if (live->idle_since == kNever) {
+    live->idle_since = now;
+  } else if (now - live->idle_since > kIdleLimit &&
+             now - live->answered > 2 * kIdleLimit) {
+    LogEvent(Part::kPlacer, "run_stands_still",
+             {{"task", platform::TaskName(row.run.task)},
+              {"run", row.run.number},
+              {"backend", server->entry.id.value},
+              {"idle_ms", AgeMs(live->idle_since, now)}});
+    server->avoid_until = now + kAvoidFor;
+    SendStop(server, row.run, live, now);
+  }
+}
+
+void Cell::EraseRun(Server* server, const RunRef& run) {
+  auto it = server->runs.find(run);
+  if (it == server->runs.end()) {
+    return;
+  }
+  const LiveRun& live = it->second;
+  if (live.foreign) {
+    --server->foreign_runs;
+  } else {
+    Job* job = nullptr;
+    Step* step = nullptr;
+    Resources room = live.need;
+    if (FindTask(run.task, &job, &step) != nullptr) {
+      room = RoomOf(job->spec.steps[run.task.step]);
+    }
+    Subtract(&server->used, room);
+    Subtract(&usage_[live.team], live.need);
+  }
+  server->runs.erase(it);
+}
+
+void Cell::OnEnd(Server* server, const ListedEnd& end, Time now) {
+  const auto live = server->runs.find(end.run);
+  const uint32_t ran_ms = live == server->runs.end()
+                              ? 0
+                              : AgeMs(live->second.sent, now);
+  EraseRun(server, end.run);
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = FindTask(end.run.task, &job, &step);
+  LogEvent(Part::kPlacer, "run_ended",
+           {{"task", platform::TaskName(end.run.task)},
+            {"run", end.run.number},
+            {"backend", server->entry.id.value},
+            {"how", static_cast<int>(end.end)},
+            {"ran_ms", ran_ms}});
+  if (end.end == RunEnd::kDone) {
+    server->strikes = 0;
+  }
+  if (task == nullptr || job->state != JobState::kActive ||
+      task->phase == TaskPhase::kDone) {
+    return;
+  }
+  const bool current = task->phase == TaskPhase::kLive &&
+                       task->where == server->entry.id &&
+                       task->run == end.run.number;
+  if (end.end == RunEnd::kDone) {
+    TaskDone(job, end.run.task, now);
+    return;
+  }
+  if (end.end == RunEnd::kFailed) {
+    TaskFailed(server, job, end.run, now);
+  }
+  if (current && job->state == JobState::kActive) {
+    TaskWaits(job, end.run.task, end.saved, now);
+  }
+}
+
+/// A run that surely does not and will not run, without an end on the list.
+void Cell::OnGone(Server* server,
+                  const RunRef& run,
+                  const char* why,
+                  Time now) {
+  const auto live = server->runs.find(run);
+  const std::string saved =
+      live == server->runs.end() ? std::string() : live->second.saved;
+  EraseRun(server, run);
+  LogEvent(Part::kPlacer, "run_gone",
+           {{"task", platform::TaskName(run.task)},
+            {"run", run.number},
+            {"backend", server->entry.id.value},
+            {"why", why}});
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = FindTask(run.task, &job, &step);
+  if (task != nullptr && job->state == JobState::kActive &&
+      task->phase == TaskPhase::kLive && task->where == server->entry.id &&
+      task->run == run.number) {
+    TaskWaits(job, run.task, saved, now);
+  }
+}
+
+void Cell::TaskDone(Job* job, const TaskRef& ref, Time now) {
+  Occurrence& occurrence = job->occurrences.at(ref.occurrence);
+  Step& step = occurrence.steps[ref.step];
+  const StepSpec& spec = job->spec.steps[ref.step];
+  const auto finish = [&](uint32_t index) {
+    Task& task = step.tasks[index];
+    if (task.phase == TaskPhase::kDone) {
+      return;
+    }
+    if (task.phase == TaskPhase::kLive) {
+      --step.live;
+      auto server = servers_.find(task.where);
+      const TaskRef other{ref.job, ref.occurrence, ref.step, index};
+      if (!spec.gang && server != servers_.end()) {
+        auto live = server->second.runs.find({other, task.run});
+        if (live != server->second.runs.end()) {
+          SendStop(&server->second, live->first, &live->second, now);
+        }
+      }
+    }
+    task.phase = TaskPhase::kDone;
+    ++step.done;
+  };
+  if (spec.perpetual) {
+    TaskWaits(job, ref, {}, now);
+    return;
+  }
+  if (spec.gang) {
+    for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+      finish(n);
+    }
+  } else {
+    finish(ref.index);
+  }
+  job->changed = true;
+  changed_.insert(job->id);
+  if (step.done < step.tasks.size()) {
+    return;
+  }
+  ready_.erase({job->id, ref.occurrence, ref.step});
+  ++occurrence.steps_done;
+  UpdateReady(job, ref.occurrence, now);
+  if (occurrence.steps_done < occurrence.steps.size()) {
+    return;
+  }
+  const uint64_t count = std::max<uint64_t>(1, job->spec.repeat_count);
+  while (true) {
+    auto first = job->occurrences.find(job->first_occurrence);
+    if (first == job->occurrences.end() ||
+        first->second.steps_done < first->second.steps.size()) {
+      break;
+    }
+    job->occurrences.erase(first);
+    ++job->first_occurrence;
+  }
+  if (job->first_occurrence >= count) {
+    EndJob(job, JobState::kCompleted, now);
+  }
+}
+
+void Cell::TaskFailed(Server* server, Job* job, const RunRef& run, Time now) {
+  Step& step =
+      job->occurrences.at(run.task.occurrence).steps[run.task.step];
+  Task& task = step.tasks[run.task.index];
+  const StepSpec& spec = job->spec.steps[run.task.step];
+  task.failures += 1;
+  task.failed_on = server->entry.id;
+  if (spec.gang && step.last_failed_run != run.number) {
+    step.last_failed_run = run.number;
+    step.gang_failures += 1;
+  }
+  job->changed = true;
+  changed_.insert(job->id);
+  Strike(server, now);
+  const uint32_t failures = std::max(task.failures, step.gang_failures);
+  if (!spec.perpetual && failures >= job->policy.max_attempts) {
+    LogEvent(Part::kPlacer, "job_failed",
+             {{"job", job->id.value},
+              {"task", platform::TaskName(run.task)},
+              {"failures", failures}});
+    EndJob(job, JobState::kFailed, now);
+  }
+}
+
+void Cell::Strike(Server* server, Time now) {
+  server->strikes += 1;
+  if (server->strikes >= kStrikesToAvoid) {
+    server->avoid_until = now + kAvoidFor;
+    LogEvent(Part::kPlacer, "backend_avoided",
+             {{"backend", server->entry.id.value},
+              {"strikes", server->strikes}});
+  }
+}
+
+void Cell::TaskWaits(Job* job,
+                     const TaskRef& ref,
+                     const std::string& saved,
+                     Time now) {
+  Step& step = job->occurrences.at(ref.occurrence).steps[ref.step];
+  Task& task = step.tasks[ref.index];
+  const StepSpec& spec = job->spec.steps[ref.step];
+  if (task.phase == TaskPhase::kLive) {
+    --step.live;
+  }
+  task.phase = TaskPhase::kWaiting;
+  step.waits_since = now;
+  if (!saved.empty() && spec.checkpoint) {
+    if (spec.gang) {
+      for (auto& it : step.tasks) {
+        it.saved = saved;
+      }
+    } else {
+      task.saved = saved;
+    }
+    job->changed = true;
+    changed_.insert(job->id);
+  }
+  if (spec.gang) {
+    BreakGang(job, ref, now);
+  } else {
+    ready_.insert({ref.job, ref.occurrence, ref.step});
+  }
+}
+
+/// Stops what is left of a gang; it starts anew once all of it is gone.
+void Cell::BreakGang(Job* job, const TaskRef& member, Time now) {
+  Step& step = job->occurrences.at(member.occurrence).steps[member.step];
+  if (step.live == 0) {
+    step.breaking = false;
+    ready_.insert({member.job, member.occurrence, member.step});
+    return;
+  }
+  if (step.breaking) {
+    return;
+  }
+  step.breaking = true;
+  for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+    const Task& task = step.tasks[n];
+    auto server = servers_.find(task.where);
+    if (task.phase != TaskPhase::kLive || server == servers_.end()) {
+      continue;
+    }
+    const TaskRef ref{member.job, member.occurrence, member.step, n};
+    auto live = server->second.runs.find({ref, task.run});
+    if (live != server->second.runs.end() &&
+        live->second.phase != RunPhase::kStarting) {
+      SendStop(&server->second, live->first, &live->second, now);
+    } else if (live != server->second.runs.end()) {
+      live->second.phase = RunPhase::kStopping;
+    }
+  }
+}
+
+/// Work that will not be done before a leaving backend server goes is moved
+/// while others have room for it.
+void Cell::Evacuate(Server* server, Time now) {
+  if (!port_->MayAct()) {
+    return;
+  }
+  const uint64_t left = server->entry.remaining_ms.value_or(0);
+  for (auto& it : server->runs) {
+    LiveRun& live = it.second;
+    Job* job = nullptr;
+    Step* step = nullptr;
+    if (live.phase != RunPhase::kRunning ||
+        FindTask(it.first.task, &job, &step) == nullptr) {
+      continue;
+    }
+    const StepSpec& spec = job->spec.steps[it.first.task.step];
+    const uint64_t ran = AgeMs(live.answered, now);
+    const uint64_t to_go =
+        live.estimate_ms > ran ? live.estimate_ms - ran : 0;
+    if (spec.perpetual || (spec.checkpoint && to_go > left)) {
+      LogEvent(Part::kPlacer, "run_evacuated",
+               {{"task", platform::TaskName(it.first.task)},
+                {"run", it.first.number},
+                {"backend", server->entry.id.value},
+                {"to_go_ms", to_go},
+                {"left_ms", left}});
+      SendStop(server, it.first, &live, now);
+    }
+  }
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/entry.cc
@@ -0,0 +1,210 @@
+#include "entry_base.h"
+
+#include "event_log_func.h"
+#include "platform/deployment.h"
+
+namespace bw {
+namespace {
+
+constexpr milliseconds kCoreTick{20};
+/// A gap in the core thread's time beyond this is logged.
+constexpr milliseconds kCoreGap{1000};
+constexpr long kConnectionsPerHost = 8;
+constexpr milliseconds kMetricsEvery{1000};
+/// The balancer needs two misses, a second apart, to send no one any more.
+constexpr milliseconds kBalancerNotice{2500};
+constexpr milliseconds kIdleConnection{60'000};
+constexpr size_t kMaxBodyBytes = 1 << 20;
+
+}  // namespace
+
+Entry::Entry(EntryOptions options)
+    : options_(std::move(options)),
+      http_(net::MakeHttpClient(kConnectionsPerHost)),
+      store_(platform::MakeHttpStore(options_.store, http_.get())),
+      core_(
+          kCoreTick, kCoreGap, [this] { Tick(); },
+          [] { LogEvent(Part::kKernel, "process_was_held_up", {}); }),
+      config_(store_.get(), &core_),
+      membership_(options_.membership, store_.get(), &core_),
+      advisor_(options_.advice, http_.get(), &core_),
+      owner_(options_.cell, options_.max_call_bytes,
+             {store_.get(), http_.get(), &core_, &membership_, &config_,
+              &advisor_, &metrics_}),
+      front_(options_.front,
+             {&core_, &membership_, &config_, &owner_, &metrics_}) {}
+
+Entry::~Entry() = default;
+
+void Entry::Start(Kernel&) {
+  mesh_ = net::MakeMesh(
+      {options_.membership.address, options_.membership.name}, &clock_,
+      [this](const proto::Envelope& question, net::Mesh::Reply reply) {
+        OnQuestion(question, std::move(reply));
+      });
+  owner_.SetMesh(mesh_.get());
+  front_.SetMesh(mesh_.get());
+  config_.Start(
+      [this](const ConfigWatch::ConfigPtr& it) { owner_.OnConfig(it); });
+  membership_.Start(
+      [this](uint64_t generation) { owner_.OnGain(generation); },
+      [this] { owner_.OnLose(); });
+  core_.SetIdle([this] { owner_.Idle(BootClock::now()); });
+  core_.Start();
+  net::HttpServerOptions front;
+  front.listen = options_.listen_front;
+  front.read_timeout = kIdleConnection;
+  front.max_body_bytes = kMaxBodyBytes;
+  front_server_ = std::make_unique<net::HttpServer>(
+      front, [this](const net::HttpRequest& request, net::Responder respond) {
+        front_.Serve(request, std::move(respond));
+      });
+  net::HttpServerOptions ready;
+  ready.listen = options_.listen_ready;
+  ready.read_timeout = kIdleConnection;
+  ready_server_ = std::make_unique<net::HttpServer>(
+      ready, [this](const net::HttpRequest& request,
+                    const net::Responder& respond) { respond(Page(request)); });
+  if (!options_.listen_metrics.empty()) {
+    net::HttpServerOptions metrics;
+    metrics.listen = options_.listen_metrics;
+    metrics_server_ = std::make_unique<net::HttpServer>(
+        metrics, [this](const net::HttpRequest&,
+                        const net::Responder& respond) {
+          net::HttpResponse out;
+          out.content_type = "text/plain; version=0.0.4";
+          out.body = metrics_.ToText();
+          respond(out);
+        });
+  }
+}
+
+net::HttpResponse Entry::Page(const net::HttpRequest& request) const {
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  net::HttpResponse out;
+  if (request.path != platform::kReadyPath) {
+    out.status = kNotFound;
+  } else if (!front_.IsReady()) {
+    out.status = kUnavailable;
+  }
+  return out;
+}
+
+void Entry::Tick() {
+  const Time now = BootClock::now();
+  config_.Tick(now);
+  membership_.Tick(now);
+  owner_.Tick(now);
+  front_.Tick(now);
+  UpdateMetrics(now);
+  if (draining_ && !leaving_ && owner_.IsFlushed()) {
+    leaving_ = true;
+    membership_.Leave([this] { handed_over_ = true; });
+  }
+}
+
+void Entry::UpdateMetrics(Time now) {
+  if (now < next_metrics_) {
+    return;
+  }
+  next_metrics_ = now + kMetricsEvery;
+  const auto counts = owner_.Count();
+  metrics_.Set("bw_owner", "", owner_.IsActive() ? 1 : 0);
+  metrics_.Set("bw_jobs", "", static_cast<double>(counts.jobs));
+  metrics_.Set("bw_runs", "", static_cast<double>(counts.runs));
+  metrics_.Set("bw_waiting_steps", "",
+               static_cast<double>(counts.waiting_steps));
+  metrics_.Set("bw_backends", "", static_cast<double>(counts.servers));
+  metrics_.Set("bw_backends_usable", "",
+               static_cast<double>(counts.usable_servers));
+  metrics_.Set("bw_free_millicores", "",
+               static_cast<double>(counts.free_millicores));
+  metrics_.Set("bw_config_age_seconds", "", config_.ViewAgeMs(now) / 1000.0);
+  metrics_.Set("bw_config_version", "",
+               config_.Current()
+                   ? static_cast<double>(config_.Current()->version)
+                   : 0);
+  metrics_.Set("bw_renewal_age_seconds", "",
+               membership_.RenewalAgeMs(now) / 1000.0);
+  metrics_.Set("bw_open_calls", "", static_cast<double>(front_.OpenCalls()));
+  if (owner_.IsActive()) {
+    LogEvent(Part::kPlacer, "cell_state",
+             {{"jobs", counts.jobs},
+              {"runs", counts.runs},
+              {"waiting_steps", counts.waiting_steps},
+              {"usable", counts.usable_servers},
+              {"backends", counts.servers},
+              {"free_millicores", counts.free_millicores},
+              {"total_millicores", counts.total_millicores},
+              {"queued_steps", core_.Queued()}});
+  }
+}
+
+void Entry::OnQuestion(const proto::Envelope& question,
+                       net::Mesh::Reply reply) {
+  if (question.has_cell_call()) {
+    core_.Post([this, call = question.cell_call(), reply] {
+      AnswerCell(call, reply);
+    });
+  } else if (question.has_advice_call()) {
+    core_.Post([this, call = question.advice_call(), reply] {
+      AnswerAdvice(call, reply);
+    });
+  }
+}
+
+void Entry::AnswerCell(const proto::CellCall& call, net::Mesh::Reply reply) {
+  owner_.Handle(call, [reply](const CellOutcome& outcome) {
+    proto::Envelope out;
+    auto* it = out.mutable_cell_reply();
+    it->set_verdict(static_cast<uint32_t>(outcome.verdict));
+    it->set_state(outcome.state);
+    it->set_count(outcome.count);
+    it->set_retry_after_ms(outcome.retry_after_ms);
+    it->set_reason(outcome.reason);
+    reply(out);
+  });
+}
+
+void Entry::AnswerAdvice(const proto::AdviceCall& call,
+                         net::Mesh::Reply reply) {
+  advisor_.Ask(
+      call.step(), {call.backends().begin(), call.backends().end()},
+      milliseconds(call.wait_ms()),
+      [reply](const platform::AdviceAnswer& answer) {
+        proto::Envelope out;
+        auto* it = out.mutable_advice_reply();
+        it->set_answered(answer.answered);
+        it->set_overloaded(answer.overloaded);
+        it->set_valid_ms(answer.valid_ms);
+        for (const auto& row : answer.good) {
+          auto* ticket = it->add_good();
+          ticket->set_backend(row.backend.value);
+          ticket->set_text(row.text);
+        }
+        reply(out);
+      });
+}
+
+void Entry::Drain() {
+  drain_began_ = BootClock::now();
+  front_.Drain();
+  draining_ = true;
+}
+
+bool Entry::IsBusy() const {
+  return !draining_ || front_.OpenCalls() > 0 ||
+         BootClock::now() - drain_began_ < kBalancerNotice;
+}
+
+void Entry::Stop() {
+  front_server_.reset();
+  ready_server_.reset();
+  metrics_server_.reset();
+  mesh_.reset();
+  core_.Stop();
+  http_.reset();
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/fit.cc
@@ -0,0 +1,163 @@
+#include "fit_func.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <numeric>
+#include <optional>
+
+namespace bw {
+namespace {
+
+uint64_t Quotient(uint64_t room, uint64_t need) {
+  return need == 0 ? std::numeric_limits<uint32_t>::max() : room / need;
+}
+
+/// Orders servers for a step: the lowest goes first.
+struct Preference {
+  uint32_t penalty = 0;
+  uint32_t far = 0;
+  uint64_t rank = 0;
+
+  auto operator<=>(const Preference&) const = default;
+};
+
+Preference PreferenceOf(const ServerRoom& server, const StepNeed& need) {
+  const uint64_t rank =
+      need.spread
+          ? (uint64_t{server.of_step} << 32) +
+                (std::numeric_limits<uint32_t>::max() -
+                 std::min<uint64_t>(server.free.millicores,
+                                    std::numeric_limits<uint32_t>::max()))
+          : server.free.millicores;
+  return {server.penalty, server.near_data ? 0U : 1U, rank};
+}
+
+bool MayUse(const ServerRoom& server, const StepNeed& need) {
+  return server.usable && (!need.near_only || server.near_data);
+}
+
+/// Servers that have room for a task, best first.
+std::vector<uint32_t> Candidates(std::span<const ServerRoom> servers,
+                                 const StepNeed& need) {
+  std::vector<uint32_t> out;
+  for (uint32_t n = 0; n < servers.size(); ++n) {
+    if (MayUse(servers[n], need) &&
+        SlotsIn(servers[n], servers[n].free, need) > 0) {
+      out.push_back(n);
+    }
+  }
+  std::sort(out.begin(), out.end(), [&](uint32_t a, uint32_t b) {
+    const auto left = PreferenceOf(servers[a], need);
+    const auto right = PreferenceOf(servers[b], need);
+    return left != right ? left < right : a < b;
+  });
+  return out;
+}
+
+/// Fills servers in order; with `spread` one task at a time.
+std::vector<uint32_t> Fill(std::span<const ServerRoom> servers,
+                           const std::vector<uint32_t>& order,
+                           const StepNeed& need) {
+  std::vector<uint32_t> out;
+  std::vector<uint32_t> slots;
+  slots.reserve(order.size());
+  for (uint32_t n : order) {
+    slots.push_back(SlotsIn(servers[n], servers[n].free, need));
+  }
+  bool progress = true;
+  while (out.size() < need.count && progress) {
+    progress = false;
+    for (size_t n = 0; n < order.size() && out.size() < need.count; ++n) {
+      const uint32_t most = need.spread ? 1 : slots[n];
+      const uint32_t take = std::min<uint32_t>(
+          {slots[n], most, need.count - static_cast<uint32_t>(out.size())});
+      out.insert(out.end(), take, order[n]);
+      slots[n] -= take;
+      progress = progress || take > 0;
+    }
+  }
+  return out;
+}
+
+/// The same for each rack by itself. @return The first rack that holds all.
+std::vector<uint32_t> FillOneRack(std::span<const ServerRoom> servers,
+                                  const std::vector<uint32_t>& order,
+                                  const StepNeed& need) {
+  std::map<uint32_t, std::vector<uint32_t>> racks;
+  for (uint32_t n : order) {
+    racks[servers[n].rack].push_back(n);
+  }
+  std::vector<uint32_t> best;
+  for (const auto& it : racks) {
+    auto filled = Fill(servers, it.second, need);
+    if (filled.size() > best.size()) {
+      best = std::move(filled);
+    }
+  }
+  return best;
+}
+
+std::vector<uint32_t> ReserveAmong(std::span<const ServerRoom> servers,
+                                   std::vector<uint32_t> order,
+                                   const StepNeed& need) {
+  std::stable_sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
+    return servers[a].free.millicores > servers[b].free.millicores;
+  });
+  std::vector<uint32_t> out(servers.size());
+  uint32_t left = need.count;
+  for (uint32_t n : order) {
+    const uint32_t take =
+        std::min(left, SlotsIn(servers[n], servers[n].total, need));
+    out[n] = take;
+    left -= take;
+  }
+  return left == 0 ? out : std::vector<uint32_t>();
+}
+
+}  // namespace
+
+uint32_t SlotsIn(const ServerRoom& server,
+                 const Resources& room,
+                 const StepNeed& need) {
+  uint64_t out =
+      std::min({Quotient(room.millicores, need.task.millicores),
+                Quotient(room.memory_mb, need.task.memory_mb),
+                Quotient(room.accelerators, need.task.accelerators)});
+  if (need.per_server > 0) {
+    out = std::min<uint64_t>(
+        out, need.per_server - std::min(need.per_server, server.of_step));
+  }
+  return static_cast<uint32_t>(std::min<uint64_t>(out, need.count));
+}
+
+std::vector<uint32_t> FitStep(std::span<const ServerRoom> servers,
+                              const StepNeed& need) {
+  const auto order = Candidates(servers, need);
+  auto out = need.same_rack ? FillOneRack(servers, order, need)
+                            : Fill(servers, order, need);
+  if (need.gang && out.size() < need.count) {
+    out.clear();
+  }
+  out.resize(need.count, kNoServer);
+  return out;
+}
+
+std::vector<uint32_t> ReserveForGang(std::span<const ServerRoom> servers,
+                                     const StepNeed& need) {
+  std::map<uint32_t, std::vector<uint32_t>> racks;
+  for (uint32_t n = 0; n < servers.size(); ++n) {
+    if (MayUse(servers[n], need)) {
+      racks[need.same_rack ? servers[n].rack : 0].push_back(n);
+    }
+  }
+  for (auto& it : racks) {
+    auto out = ReserveAmong(servers, std::move(it.second), need);
+    if (!out.empty()) {
+      return out;
+    }
+  }
+  return {};
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/fit_func.h
@@ -0,0 +1,59 @@
+// Which backend servers the tasks of a step go to: pure functions over plain
+// values. Thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "cell_type.h"
+
+namespace bw {
+
+/// One backend server as the decision sees it.
+struct ServerRoom {
+  Resources total;
+  Resources free;         ///< Less what is kept for steps that come first.
+  uint32_t rack = 0;      ///< Number of the rack.
+  uint32_t of_step = 0;   ///< Tasks of the same step on it.
+  uint32_t penalty = 0;   ///< Recent failures and slowness; 0 is sound.
+  bool usable = true;     ///< Reachable, not leaving, with a valid ticket.
+  bool near_data = true;  ///< On the rack where the step's data is.
+
+  bool operator==(const ServerRoom&) const = default;
+};
+
+/// What a step asks for.
+struct StepNeed {
+  Resources task;           ///< Room one task takes.
+  uint32_t count = 1;       ///< Tasks to place.
+  bool gang = false;        ///< All or none.
+  bool same_rack = false;   ///< Only within one rack.
+  bool near_only = false;   ///< Only where `near_data` is set.
+  bool spread = false;      ///< Few tasks on each server, not packed.
+  uint32_t per_server = 0;  ///< Most on one server; 0: any number.
+
+  bool operator==(const StepNeed&) const = default;
+};
+
+inline constexpr uint32_t kNoServer = 0xffffffff;
+
+/// @return How many tasks fit into `room` on this server.
+uint32_t SlotsIn(const ServerRoom& server,
+                 const Resources& room,
+                 const StepNeed& need);
+
+/// Chooses servers for a step's tasks, packed so that large holes stay for
+/// wide tasks. @return For each task the index of its server, or kNoServer;
+/// for a gang all are kNoServer unless all fit.
+std::vector<uint32_t> FitStep(std::span<const ServerRoom> servers,
+                              const StepNeed& need);
+
+/// Chooses where to keep room for a gang that does not fit yet: the servers
+/// with the most free room now. @return Tasks for each server; empty if the
+/// gang does not fit even on empty servers.
+std::vector<uint32_t> ReserveForGang(std::span<const ServerRoom> servers,
+                                     const StepNeed& need);
+
+}  // namespace bw
--- /dev/null
+++ b/src/front.cc
@@ -0,0 +1,329 @@
+#include "front_base.h"
+
+#include <algorithm>
+
+#include "event_log_func.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+/// Pause before a call is sent to the owner again.
+constexpr milliseconds kRetryPause{40};
+/// A call that surely reached no owner is refused after this.
+constexpr milliseconds kOwnerWait{500};
+/// The owner answers in some 10 ms, or in 900 ms with a slow store.
+constexpr milliseconds kOwnerTimeout{900};
+/// Callers are answered this long before they go away.
+constexpr milliseconds kAnswerMargin{150};
+constexpr uint32_t kRetryAfterMs = 1000;
+/// Keys count as current while the view of the configuration is younger than
+/// the time in which they stop working, less what an answer takes.
+constexpr milliseconds kRevokeMargin{1200};
+/// Refusals for want of a key or queue need a view younger than this.
+constexpr uint32_t kSureViewMs = 1900;
+/// An instance with an older view takes no new connections.
+constexpr uint32_t kReadyViewMs = 2300;
+constexpr size_t kMaxOpenCalls = 2000;
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kUnauthorized = 401;
+constexpr int kForbidden = 403;
+constexpr int kNotFound = 404;
+constexpr int kNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kTooLarge = 413;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+CellOutcome FromReply(const proto::CellReply& reply) {
+  CellOutcome out;
+  out.verdict = static_cast<CellVerdict>(reply.verdict());
+  out.state = reply.state();
+  out.count = reply.count();
+  out.retry_after_ms = reply.retry_after_ms();
+  out.reason = reply.reason();
+  return out;
+}
+
+}  // namespace
+
+Front::Front(FrontOptions options, FrontParts parts)
+    : options_(options), parts_(parts) {}
+
+void Front::Serve(const net::HttpRequest& request, net::Responder responder) {
+  auto call = std::make_shared<Call>();
+  call->ingress = platform::ReadIngressCall(request);
+  call->responder = std::move(responder);
+  call->received = BootClock::now();
+  call->give_up = call->received + call->ingress.wait - kAnswerMargin;
+  ++open_;
+  if (open_ > kMaxOpenCalls ||
+      !parts_.core->Post([this, call] { Take(call); })) {
+    --open_;
+    auto out =
+        platform::ErrorAnswer(kUnavailable, "overloaded", kRetryAfterMs);
+    out.close = true;
+    call->responder(std::move(out));
+  }
+}
+
+void Front::Take(const CallPtr& call) {
+  const auto& config = parts_.config->Current();
+  const uint32_t age = parts_.config->ViewAgeMs(BootClock::now());
+  const auto current_for =
+      static_cast<uint32_t>((options_.revoke - kRevokeMargin).count());
+  if (!config || age > current_for) {
+    Refuse(call, kUnavailable, "the configuration may be out of date");
+    return;
+  }
+  if (!FillMessage(call)) {
+    return;
+  }
+  open_calls_[++last_number_] = call;
+  Send(call);
+}
+
+/// Checks queue, key and job name. @return False if the call was answered.
+bool Front::FillMessage(const CallPtr& call) {
+  const auto& config = *parts_.config->Current();
+  const bool sure =
+      parts_.config->ViewAgeMs(BootClock::now()) < kSureViewMs;
+  const auto& in = call->ingress;
+  const QueuePolicy* queue = platform::FindRoute(config, in.host, in.path);
+  if (queue == nullptr) {
+    Refuse(call, sure ? kNotFound : kUnavailable, "no such queue");
+    return false;
+  }
+  TeamId team;
+  if (!in.api_key.empty()) {
+    auto it = config.teams_by_key.find(HashKey(in.api_key));
+    if (it != config.teams_by_key.end()) {
+      team = it->second;
+    }
+  }
+  if (!team.IsValid() && !queue->anonymous) {
+    Refuse(call, sure ? kUnauthorized : kUnavailable, "unknown key");
+    return false;
+  }
+  const std::string name = in.path.substr(queue->path_prefix.size());
+  auto& message = call->message;
+  message.set_team(team.value);
+  message.set_queue(queue->name.value);
+  message.set_config_version(config.version);
+  message.set_wait_ms(static_cast<uint32_t>(in.wait.count()));
+  if (name.empty() && in.kind == platform::IngressKind::kState) {
+    message.set_kind(static_cast<uint32_t>(CellCallKind::kCount));
+    return true;
+  }
+  if (!platform::IsJobName(name)) {
+    const bool submit = in.kind == platform::IngressKind::kSubmit;
+    Refuse(call, submit ? kBadRequest : kGone, "not a job's name");
+    return false;
+  }
+  message.set_job(name);
+  switch (in.kind) {
+    case platform::IngressKind::kSubmit: {
+      BatchSpec spec;
+      if (in.body.size() > config.max_body_bytes) {
+        Refuse(call, kTooLarge, "body too large");
+        return false;
+      }
+      if (platform::ReadBatchSpec(in.body, &spec) !=
+          platform::SpecFault::kNone) {
+        Refuse(call, kBadRequest, "the job cannot be read");
+        return false;
+      }
+      message.set_body(in.body);
+      message.set_kind(static_cast<uint32_t>(CellCallKind::kSubmit));
+      return true;
+    }
+    case platform::IngressKind::kState:
+      message.set_kind(static_cast<uint32_t>(CellCallKind::kState));
+      return true;
+    case platform::IngressKind::kCancel:
+      message.set_kind(static_cast<uint32_t>(CellCallKind::kCancel));
+      return true;
+    case platform::IngressKind::kOther:
+      break;
+  }
+  Refuse(call, kNotAllowed, "method not allowed");
+  return false;
+}
+
+void Front::Send(const CallPtr& call) {
+  const std::string owner = parts_.membership->OwnerAddress();
+  if (owner.empty()) {
+    RetryLater(call, "no owner is known");
+    return;
+  }
+  ++call->unknown_sends;
+  if (parts_.membership->IsSelf(owner)) {
+    call->retry_at = BootClock::now() + kOwnerTimeout;
+    parts_.owner->Handle(call->message, [this, call](const CellOutcome& it) {
+      OnOutcome(call, it);
+    });
+    return;
+  }
+  SendOverMesh(call, owner);
+}
+
+void Front::SendOverMesh(const CallPtr& call, const std::string& owner) {
+  proto::Envelope question;
+  *question.mutable_cell_call() = call->message;
+  const auto left = std::chrono::duration_cast<milliseconds>(
+      call->give_up - BootClock::now());
+  call->retry_at = kNever;
+  mesh_->Ask(
+      owner, std::move(question), std::clamp(left, kRetryPause, kOwnerTimeout),
+      [this, call](const proto::Envelope* envelope) {
+        CellOutcome out;
+        out.verdict = CellVerdict::kUnknown;
+        if (envelope != nullptr && envelope->has_cell_reply()) {
+          out = FromReply(envelope->cell_reply());
+        }
+        parts_.core->PostWaiting([this, call, out] { OnOutcome(call, out); });
+      },
+      [this, call] {
+        parts_.core->PostWaiting([this, call] {
+          --call->unknown_sends;
+          RetryLater(call, "the owner is not reached");
+        });
+      });
+}
+
+void Front::RetryLater(const CallPtr& call, const char* why) {
+  if (call->done) {
+    return;
+  }
+  parts_.membership->DoubtOwner();
+  const Time now = BootClock::now();
+  const bool submit = call->message.kind() ==
+                      static_cast<uint32_t>(CellCallKind::kSubmit);
+  const bool give_up_early =
+      !(submit && call->unknown_sends > 0) && now - call->received > kOwnerWait;
+  if (now >= call->give_up || give_up_early) {
+    GiveUp(call, why);
+    return;
+  }
+  call->retry_at = now + kRetryPause;
+}
+
+/// The last word on a call without an outcome: "not run" only if that is sure.
+void Front::GiveUp(const CallPtr& call, const char* why) {
+  const bool changes = call->message.kind() ==
+                           static_cast<uint32_t>(CellCallKind::kSubmit) ||
+                       call->message.kind() ==
+                           static_cast<uint32_t>(CellCallKind::kCancel);
+  Refuse(call, changes && call->unknown_sends > 0 ? kGatewayTimeout : kUnavailable,
+         why);
+}
+
+void Front::OnOutcome(const CallPtr& call, const CellOutcome& outcome) {
+  if (call->done) {
+    return;
+  }
+  switch (outcome.verdict) {
+    case CellVerdict::kOk:
+      Answer(call,
+             call->message.kind() == static_cast<uint32_t>(CellCallKind::kCount)
+                 ? platform::CountAnswer(outcome.count)
+                 : platform::StateAnswer(outcome.state),
+             "ok");
+      return;
+    case CellVerdict::kUnknownJob:
+      Answer(call, platform::ErrorAnswer(kGone, outcome.reason, 0),
+             "no such job");
+      return;
+    case CellVerdict::kOtherAccount:
+      Refuse(call, kForbidden, "job of another account");
+      return;
+    case CellVerdict::kMalformed:
+      Refuse(call, kBadRequest, "the job cannot be read");
+      return;
+    case CellVerdict::kNotOwner:
+    case CellVerdict::kBehind:
+      --call->unknown_sends;
+      RetryLater(call, "the owner does not act");
+      return;
+    case CellVerdict::kUnknown:
+      RetryLater(call, "the owner gave no answer");
+      return;
+    case CellVerdict::kOverloaded:
+    case CellVerdict::kStoreAway: {
+      // An earlier send of the same call may have been taken.
+      if (--call->unknown_sends > 0) {
+        RetryLater(call, "the store is away");
+        return;
+      }
+      Answer(call,
+             platform::ErrorAnswer(kUnavailable, outcome.reason,
+                                   outcome.retry_after_ms),
+             outcome.reason.c_str());
+      return;
+    }
+  }
+}
+
+void Front::Refuse(const CallPtr& call, int status, const char* why) {
+  const bool later = status == kUnavailable || status == kGatewayTimeout;
+  auto out = platform::ErrorAnswer(status, why, later ? kRetryAfterMs : 0);
+  // Only another connection reaches another instance.
+  out.close = status == kUnavailable &&
+              parts_.config->ViewAgeMs(BootClock::now()) > kReadyViewMs;
+  Answer(call, std::move(out), why);
+}
+
+void Front::Answer(const CallPtr& call,
+                   net::HttpResponse response,
+                   const char* why) {
+  if (call->done) {
+    return;
+  }
+  call->done = true;
+  response.close = response.close || draining_;
+  if (response.status != kOk) {
+    LogEvent(Part::kGate, "call_refused",
+             {{"job", call->message.job()},
+              {"queue", call->message.queue()},
+              {"status", response.status},
+              {"why", why},
+              {"unknown_sends", call->unknown_sends},
+              {"view_age_ms",
+               parts_.config->ViewAgeMs(BootClock::now())},
+              {"after_ms", AgeMs(call->received, BootClock::now())}});
+  }
+  parts_.metrics->Count(
+      "bw_calls_total", "status=\"" + std::to_string(response.status) + "\"");
+  call->responder(std::move(response));
+  --open_;
+}
+
+void Front::Tick(Time now) {
+  ready_ = parts_.config->Current() != nullptr &&
+           parts_.config->ViewAgeMs(now) < kReadyViewMs;
+  std::vector<CallPtr> due;
+  for (auto it = open_calls_.begin(); it != open_calls_.end();) {
+    const CallPtr& call = it->second;
+    if (call->done) {
+      it = open_calls_.erase(it);
+      continue;
+    }
+    if (now >= call->give_up) {
+      due.push_back(call);
+    } else if (call->retry_at != kNever && now >= call->retry_at) {
+      due.push_back(call);
+    }
+    ++it;
+  }
+  for (const auto& call : due) {
+    if (now >= call->give_up) {
+      GiveUp(call, "no outcome in time");
+    } else {
+      Send(call);
+    }
+  }
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/front_base.h
@@ -0,0 +1,88 @@
+// The front: takes callers' calls, checks their keys, passes them to the
+// cell's owner and gives each caller one true answer.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "config_watch_base.h"
+#include "loop_base.h"
+#include "membership_base.h"
+#include "metric_base.h"
+#include "net/http_type.h"
+#include "net/mesh.h"
+#include "owner_base.h"
+#include "platform/ingress.h"
+
+namespace bw {
+
+struct FrontOptions {
+  milliseconds revoke{5000};        ///< Withdrawn keys stop working by then.
+  milliseconds config_apply{2000};  ///< Configurations are in force by then.
+};
+
+struct FrontParts {
+  Loop* core = nullptr;
+  Membership* membership = nullptr;
+  ConfigWatch* config = nullptr;
+  Owner* owner = nullptr;
+  Metrics* metrics = nullptr;
+};
+
+/// Belongs to the core thread, except where said otherwise.
+class Front {
+ public:
+  /// @pre All parts outlive the front.
+  Front(FrontOptions options, FrontParts parts);
+
+  void SetMesh(net::Mesh* mesh) { mesh_ = mesh; }
+
+  /// Handles one caller's HTTP request. Thread-safe.
+  void Serve(const net::HttpRequest& request, net::Responder responder);
+
+  void Tick(Time now);
+
+  /// No new connections are wanted from now on. Thread-safe.
+  void Drain() { draining_ = true; }
+  /// @return True while callers wait for answers. Thread-safe.
+  size_t OpenCalls() const { return open_; }
+  /// @return True if callers can be served. Thread-safe.
+  bool IsReady() const { return ready_ && !draining_; }
+
+ private:
+  struct Call {
+    platform::IngressCall ingress;
+    proto::CellCall message;
+    net::Responder responder;
+    Time received;
+    Time give_up;       ///< The caller is answered by then.
+    Time retry_at = kNever;
+    uint32_t unknown_sends = 0;  ///< Some owner may have taken it.
+    bool done = false;
+  };
+  using CallPtr = std::shared_ptr<Call>;
+
+  void Take(const CallPtr& call);
+  bool FillMessage(const CallPtr& call);
+  void Send(const CallPtr& call);
+  void SendOverMesh(const CallPtr& call, const std::string& owner);
+  void OnOutcome(const CallPtr& call, const CellOutcome& outcome);
+  void RetryLater(const CallPtr& call, const char* why);
+  void GiveUp(const CallPtr& call, const char* why);
+  void Answer(const CallPtr& call, net::HttpResponse response,
+              const char* why);
+  void Refuse(const CallPtr& call, int status, const char* why);
+
+  const FrontOptions options_;
+  const FrontParts parts_;
+  net::Mesh* mesh_ = nullptr;
+  std::map<uint64_t, CallPtr> open_calls_;
+  uint64_t last_number_ = 0;
+  std::atomic<size_t> open_{0};
+  std::atomic<bool> ready_{false};
+  std::atomic<bool> draining_{false};
+};
+
+}  // namespace bw
--- a/src/log.cc
+++ b/src/log.cc
@@ -81,6 +81,19 @@
   return true;
 }
 
+void UsePlainLines() {
+  auto root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  log4cplus::SharedAppenderPtr appender(
+      new log4cplus::ConsoleAppender(/*logToStdErr=*/false, true));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  root.addAppender(appender);
+}
+
+const char* PartName(Part part) {
+  return kPartNames[static_cast<size_t>(part)];
+}
+
 bool IsLogged(Part part, LogLevel level) {
   return LoggerOf(part).isEnabledFor(kLevels[static_cast<size_t>(level)]);
 }
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -31,6 +31,12 @@
 /// @return False if a part or a level is unknown.
 bool SetUpLog(const std::string& levels);
 
+/// Sends lines to standard output as they are, for structured lines.
+/// Call once, after SetUpLog.
+void UsePlainLines();
+
+const char* PartName(Part part);
+
 /// @return True if a line of this part and level would be written.
 /// Thread-safe.
 bool IsLogged(Part part, LogLevel level);
--- a/src/loop_base.h
+++ b/src/loop_base.h
@@ -39,6 +39,10 @@
     }
   }
 
+  /// Sets a step that runs whenever the ring has run empty after a step or a
+  /// tick. @pre Not started yet.
+  void SetIdle(Step idle) { idle_ = std::move(idle); }
+
   size_t Queued() const { return ring_.size(); }
 
   void Stop() {
@@ -69,6 +73,9 @@
         tick_();
         next_tick = now + every_;
       }
+      if (idle_ && ring_.size() == 0) {
+        idle_();
+      }
     }
   }
 
@@ -76,6 +83,7 @@
   const Duration gap_;
   const Step tick_;
   const Step on_gap_;
+  Step idle_;
   Ring<Step> ring_{kRingSize};
   std::jthread thread_;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,6 +15,8 @@
 
 constexpr size_t kMaxAnswerBytes = 16U << 20;
 constexpr size_t kCallRingSize = 16'384;
+constexpr int kIdleWaitMs = 1000;  ///< Calls and bytes wake it earlier.
+constexpr long kOpenConnections = 1024;  ///< Kept open for later calls.
 
 /// One call under way: the easy handle and the buffers it points to.
 struct Transfer {
@@ -129,6 +131,7 @@
       : calls_(kCallRingSize), multi_(curl_multi_init()) {
     curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                       connections_per_host);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kOpenConnections);
     thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
   }
 
@@ -160,7 +163,7 @@
       int running = 0;
       curl_multi_perform(multi_, &running);
       Collect();
-      curl_multi_poll(multi_, nullptr, 0, 100, nullptr);
+      curl_multi_poll(multi_, nullptr, 0, kIdleWaitMs, nullptr);
     }
     for (auto& it : active_) {
       curl_multi_remove_handle(multi_, it.first);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -50,6 +50,9 @@
   for (const auto& it : response.headers) {
     out.append_header(it.first, it.second);
   }
+  if (response.close) {
+    out.connection_close();
+  }
   out.set_body(std::move(response.body));
   out.done();
 }
--- a/src/net/http_type.h
+++ b/src/net/http_type.h
@@ -39,6 +39,7 @@
   std::string content_type = "application/json";
   std::string body;
   Headers headers;
+  bool close = false;  ///< The connection ends after this answer.
 };
 
 /// Answers one request, at most once; may be called from any thread.
--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -22,7 +22,8 @@
 constexpr int kHeartbeatTimeoutMs = 3000;
 constexpr int kReconnectMs = 100;
 constexpr int64_t kMaxMessageBytes = 32LL << 20;
-constexpr milliseconds kTick{20};
+constexpr milliseconds kTick{50};       ///< While questions are open.
+constexpr milliseconds kIdleTick{1000};  ///< Otherwise; bytes wake it earlier.
 
 /// A message waiting for the mesh's thread.
 struct Outgoing {
@@ -121,7 +122,7 @@
         items.push_back({it.second.handle(), 0, ZMQ_POLLIN, 0});
         sockets.push_back(&it.second);
       }
-      zmq::poll(items, kTick);
+      zmq::poll(items, pending_.empty() ? kIdleTick : kTick);
       uint64_t drained = 0;
       [[maybe_unused]] auto n = read(wake_fd_, &drained, sizeof(drained));
       if ((items[1].revents & ZMQ_POLLIN) != 0) {
--- /dev/null
+++ b/src/order.cc
@@ -0,0 +1,81 @@
+#include <algorithm>
+#include <tuple>
+
+#include "order_func.h"
+
+namespace bw {
+namespace {
+
+/// An end up to three times the objective is worth something: RULES, "Credit".
+constexpr uint64_t kLateFactor = 3;
+/// Seconds of an account's rate that may come at once.
+constexpr double kShareBurstS = 2;
+
+}  // namespace
+
+Outlook OutlookOf(const WaitingStep& it) {
+  if (it.remaining_ms <= it.objective_in_ms) {
+    return Outlook::kInTime;
+  }
+  return it.remaining_ms <= it.worthless_in_ms ? Outlook::kLate
+                                               : Outlook::kWorthless;
+}
+
+bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
+  const auto key = [](const WaitingStep& it) {
+    return std::make_tuple(OutlookOf(it), it.priority, it.over_share,
+                           it.objective_in_ms - it.remaining_ms);
+  };
+  const auto left = key(a);
+  const auto right = key(b);
+  return left != right ? left < right : a.step < b.step;
+}
+
+Objective ObjectiveOf(const QueuePolicy& queue, uint64_t chain_ms) {
+  Objective out;
+  out.in_time_ms = static_cast<uint64_t>(queue.stretch *
+                                         static_cast<double>(chain_ms)) +
+                   queue.target_latency_ms;
+  out.late_ms = kLateFactor * out.in_time_ms;
+  return out;
+}
+
+uint64_t LongestChainMs(const BatchSpec& spec,
+                        const std::vector<bool>& still_to_do) {
+  std::vector<uint64_t> ends(spec.steps.size());
+  uint64_t longest = 0;
+  for (size_t n = 0; n < spec.steps.size(); ++n) {
+    uint64_t begin = 0;
+    for (uint32_t before : spec.steps[n].after) {
+      begin = std::max(begin, ends[before]);
+    }
+    const bool counts = still_to_do.empty() || still_to_do[n];
+    ends[n] = begin + (counts ? spec.steps[n].estimate_ms : 0);
+    longest = std::max(longest, ends[n]);
+  }
+  return longest;
+}
+
+bool ShareMeter::IsOver(const TeamId& team, double per_second, Time now) {
+  if (per_second <= 0) {
+    return false;
+  }
+  auto [it, added] = buckets_.try_emplace(team);
+  Bucket& bucket = it->second;
+  const double most = std::max(1.0, per_second * kShareBurstS);
+  if (added) {
+    bucket.tokens = most;
+  } else {
+    const double seconds =
+        std::chrono::duration<double>(now - bucket.filled).count();
+    bucket.tokens = std::min(most, bucket.tokens + seconds * per_second);
+  }
+  bucket.filled = now;
+  if (bucket.tokens < 1) {
+    return true;
+  }
+  bucket.tokens -= 1;
+  return false;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/order_func.h
@@ -0,0 +1,65 @@
+// The order in which waiting steps get room: pure functions. Thread-safe.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "cell_type.h"
+
+namespace bw {
+
+/// What the order needs to know of one waiting step. A plain value.
+struct WaitingStep {
+  StepRef step;
+  uint32_t priority = 0;         ///< Of its queue; 0 comes first.
+  bool over_share = false;       ///< Beyond the rate that its account is owed.
+  int64_t objective_in_ms = 0;   ///< Until its job's latency objective.
+  int64_t worthless_in_ms = 0;   ///< Until its job's end is worth nothing.
+  int64_t remaining_ms = 0;      ///< Shortest time to its job's end.
+
+  bool operator==(const WaitingStep&) const = default;
+};
+
+/// How much an end of the job is still worth if it starts now.
+enum class Outlook : uint8_t {
+  kInTime,
+  kLate,
+  kWorthless,
+};
+Outlook OutlookOf(const WaitingStep& it);
+
+/// @return True if `a` gets room before `b`: what can still be in time first,
+/// then by priority, then what its account is owed, then by the least slack.
+bool ComesBefore(const WaitingStep& a, const WaitingStep& b);
+
+/// A job's latency objective, and when its end stops being worth anything.
+struct Objective {
+  uint64_t in_time_ms = 0;
+  uint64_t late_ms = 0;
+
+  auto operator<=>(const Objective&) const = default;
+};
+/// @param chain_ms Longest chain of the job's steps.
+Objective ObjectiveOf(const QueuePolicy& queue, uint64_t chain_ms);
+
+/// @return The longest chain of estimated work over the steps in `mask`
+/// (steps still to be done); all if empty.
+uint64_t LongestChainMs(const BatchSpec& spec,
+                        const std::vector<bool>& still_to_do);
+
+/// Jobs a second that a client account is owed, as a token bucket. Not
+/// thread-safe.
+class ShareMeter {
+ public:
+  /// Takes one job in. @return True if it is beyond the account's rate.
+  bool IsOver(const TeamId& team, double per_second, Time now);
+
+ private:
+  struct Bucket {
+    double tokens = 0;
+    Time filled = kNever;
+  };
+  std::map<TeamId, Bucket> buckets_;
+};
+
+}  // namespace bw
--- /dev/null
+++ b/src/owner.cc
@@ -0,0 +1,461 @@
+#include "owner_base.h"
+
+#include <algorithm>
+#include <set>
+
+#include "event_log_func.h"
+#include "platform/configuration.h"
+
+namespace bw {
+namespace {
+
+/// Orders are answered in a few milliseconds.
+constexpr milliseconds kOrderTimeout{700};
+/// Pause before a failed step of a take-over is tried again.
+constexpr milliseconds kRetryPause{150};
+/// The backend servers' entries are read this often.
+constexpr milliseconds kBackendsEvery{300};
+/// Without a renewal for this long the store may be away.
+constexpr uint32_t kSettledMs = 1100;
+/// Advice that takes longer may use only part of the instances, so that quick
+/// questions find a free one.
+constexpr milliseconds kLongAdvice{150};
+/// A quick question may wait this long for an instance.
+constexpr milliseconds kAdviceBacklog{120};
+constexpr milliseconds kAdviceSlack{1200};
+constexpr milliseconds kAvoidChannel{3000};
+
+const platform::Partition& BackendPartition() {
+  static const platform::Partition out{platform::kBackendTopic, 0};
+  return out;
+}
+
+}  // namespace
+
+Owner::Owner(CellOptions options, size_t max_call_bytes, OwnerParts parts)
+    : options_(options), max_call_bytes_(max_call_bytes), parts_(parts) {}
+
+Owner::~Owner() = default;
+
+/// Wraps a callback so that it runs on the core thread, and only while this
+/// owner still has the same cell.
+template <typename F>
+auto Owner::ForThisCell(F step) {
+  return [this, tenure = tenure_, step = std::move(step)](const auto& answer) {
+    parts_.core->PostWaiting([this, tenure, step, answer] {
+      if (tenure == tenure_) {
+        step(answer);
+      }
+    });
+  };
+}
+
+void Owner::OnGain(uint64_t generation) {
+  ++tenure_;
+  epoch_ = generation;
+  gained_at_ = BootClock::now();
+  loaded_ = false;
+  backends_known_ = false;
+  reading_backends_ = false;
+  channels_.clear();
+  CellOptions options = options_;
+  options.fencing_token = epoch_;
+  options.wall_ms = wall_.Read(gained_at_);
+  cell_ = std::make_unique<Cell>(options, static_cast<CellPort*>(this));
+  log_ = std::make_unique<RecordLog>(
+      parts_.store, parts_.core, epoch_, max_call_bytes_, [this] {
+        const uint64_t tenure = tenure_;
+        parts_.core->Post([this, tenure] {
+          if (tenure == tenure_) {
+            OnFenced();
+          }
+        });
+      });
+  if (parts_.config->Current()) {
+    cell_->SetConfig(parts_.config->Current());
+  }
+  Fence();
+}
+
+void Owner::OnLose() {
+  ++tenure_;
+  loaded_ = false;
+  retry_ = nullptr;
+  log_.reset();
+  cell_.reset();
+}
+
+void Owner::OnConfig(const ConfigWatch::ConfigPtr& config) {
+  if (cell_) {
+    cell_->SetConfig(config);
+  }
+}
+
+/// Raises the producer's epoch: no former owner can keep anything any more.
+void Owner::Fence() {
+  platform::StoreAppend append;
+  append.partition = CellPartition();
+  append.producer = kCellProducer;
+  append.epoch = epoch_;
+  parts_.store->Append(
+      std::move(append), milliseconds(1000),
+      ForThisCell([this](const platform::AppendAnswer& answer) {
+        if (answer.status == platform::StoreStatus::kOk) {
+          LoadPage({});
+        } else if (answer.status == platform::StoreStatus::kFenced) {
+          OnFenced();
+        } else {
+          LogEvent(Part::kPlacer, "fence_failed",
+                   {{"status", platform::StatusName(answer.status)}});
+          retry_ = [this] { Fence(); };
+          retry_at_ = BootClock::now() + kRetryPause;
+        }
+      }));
+}
+
+void Owner::LoadPage(const std::string& after) {
+  parts_.store->Newest(
+      CellPartition(), after,
+      ForThisCell([this, after](const platform::NewestAnswer& answer) {
+        if (answer.status == platform::StoreStatus::kOk) {
+          OnPage(answer);
+          return;
+        }
+        retry_ = [this, after] { LoadPage(after); };
+        retry_at_ = BootClock::now() + kRetryPause;
+      }));
+}
+
+void Owner::OnPage(const platform::NewestAnswer& answer) {
+  const Time now = BootClock::now();
+  for (const auto& it : answer.records) {
+    cell_->Load(it.key, it.value, now);
+  }
+  if (answer.more && !answer.records.empty()) {
+    LoadPage(answer.records.back().key);
+    return;
+  }
+  Activate();
+}
+
+void Owner::Activate() {
+  const Time now = BootClock::now();
+  loaded_ = true;
+  cell_->OnLoaded(now);
+  LogEvent(Part::kPlacer, "owner_active",
+           {{"epoch", epoch_}, {"took_ms", AgeMs(gained_at_, now)}});
+  first_backend_page_ = true;
+  ReadBackends({});
+}
+
+void Owner::ReadBackends(const std::string& after) {
+  reading_backends_ = true;
+  parts_.store->Newest(
+      BackendPartition(), after,
+      ForThisCell([this](const platform::NewestAnswer& answer) {
+        reading_backends_ = false;
+        OnBackends(answer);
+      }));
+}
+
+void Owner::OnBackends(const platform::NewestAnswer& answer) {
+  if (answer.status != platform::StoreStatus::kOk) {
+    first_backend_page_ = true;
+    next_backend_read_ = BootClock::now() + kRetryPause;
+    return;
+  }
+  if (first_backend_page_) {
+    first_backend_page_ = false;
+    backend_next_ = answer.end;
+    listed_.clear();
+  }
+  for (const auto& it : answer.records) {
+    listed_.push_back(it.key);
+    TakeBackend(it.key, it.value);
+  }
+  if (answer.more && !answer.records.empty()) {
+    ReadBackends(answer.records.back().key);
+    return;
+  }
+  const std::set<std::string> listed(listed_.begin(), listed_.end());
+  cell_->DropBackendsBut(listed);
+  backends_known_ = true;
+  next_backend_read_ = BootClock::now() + kBackendsEvery;
+}
+
+void Owner::ReadBackendTail() {
+  reading_backends_ = true;
+  parts_.store->Read(BackendPartition(), backend_next_, milliseconds(0),
+                     ForThisCell([this](const platform::ReadAnswer& answer) {
+                       reading_backends_ = false;
+                       OnBackendTail(answer);
+                     }));
+}
+
+void Owner::OnBackendTail(const platform::ReadAnswer& answer) {
+  next_backend_read_ = BootClock::now() + kBackendsEvery;
+  if (answer.status == platform::StoreStatus::kExpired) {
+    backends_known_ = false;
+    first_backend_page_ = true;
+    next_backend_read_ = kNever;
+    return;
+  }
+  if (answer.status != platform::StoreStatus::kOk) {
+    return;
+  }
+  for (const auto& it : answer.records) {
+    const auto record = platform::ReadKeyedRecord(it);
+    TakeBackend(record.key, record.value);
+  }
+  backend_next_ += answer.records.size();
+}
+
+void Owner::TakeBackend(const std::string& id, const std::string& value) {
+  if (id.empty()) {
+    return;
+  }
+  if (value.empty()) {
+    cell_->DropBackend(BackendId(id));
+    return;
+  }
+  if (auto entry = platform::ReadBackendEntry(id, value)) {
+    cell_->SetBackend(*entry, BootClock::now());
+  } else {
+    LogEvent(Part::kPlacer, "backend_unreadable",
+             {{"backend", id}, {"bytes", value.size()}});
+  }
+}
+
+void Owner::Tick(Time now) {
+  if (!cell_) {
+    return;
+  }
+  if (retry_ && now >= retry_at_) {
+    auto retry = std::move(retry_);
+    retry_ = nullptr;
+    retry();
+  }
+  if (!loaded_) {
+    return;
+  }
+  if (!reading_backends_ && now >= next_backend_read_) {
+    if (backends_known_) {
+      ReadBackendTail();
+    } else {
+      ReadBackends({});
+    }
+  }
+  cell_->Tick(now, wall_.Read(now));
+}
+
+void Owner::Idle(Time now) {
+  if (cell_ && loaded_) {
+    cell_->Run(now);
+    if (log_) {
+      log_->Flush(now);
+    }
+  }
+}
+
+Cell::Counts Owner::Count() const {
+  return IsActive() ? cell_->Count() : Cell::Counts{};
+}
+
+void Owner::Handle(const proto::CellCall& call, CellDone done) {
+  if (!IsActive() || !parts_.membership->MayAct()) {
+    CellOutcome out;
+    out.verdict = CellVerdict::kNotOwner;
+    out.reason = "not the owner";
+    done(out);
+    return;
+  }
+  const Time now = BootClock::now();
+  const JobId job(call.job());
+  const TeamId team(call.team());
+  switch (static_cast<CellCallKind>(call.kind())) {
+    case CellCallKind::kSubmit:
+      cell_->Submit(job, team, QueueId(call.queue()), call.body(), now,
+                    std::move(done));
+      return;
+    case CellCallKind::kState:
+      done(cell_->State(job, team));
+      return;
+    case CellCallKind::kCancel:
+      cell_->Cancel(job, team, now, std::move(done));
+      return;
+    case CellCallKind::kCount: {
+      CellOutcome out;
+      out.count = cell_->CountWaiting(QueueId(call.queue()));
+      done(out);
+      return;
+    }
+  }
+  CellOutcome out;
+  out.verdict = CellVerdict::kMalformed;
+  done(out);
+}
+
+void Owner::Start(const BackendEntry& to, platform::StartOrder order) {
+  const RunRef run = order.run;
+  const Time sent = BootClock::now();
+  parts_.metrics->Count("bw_orders_total", R"(kind="start")");
+  parts_.http->Send(
+      platform::MakeStartCall(to, order, kOrderTimeout),
+      [membership = parts_.membership] { return membership->MayAct(); },
+      ForThisCell([this, id = to.id, run, sent](const net::HttpResult& result) {
+        cell_->OnStartAnswer(id, run, platform::ReadVerdict(result), sent,
+                             BootClock::now());
+      }));
+}
+
+void Owner::Stop(const BackendEntry& to, const RunRef& run) {
+  parts_.metrics->Count("bw_orders_total", R"(kind="stop")");
+  parts_.http->Send(
+      platform::MakeStopCall(to, run, epoch_, kOrderTimeout), {},
+      ForThisCell([this, id = to.id, run](const net::HttpResult& result) {
+        cell_->OnStopAnswer(id, run, platform::ReadVerdict(result),
+                            BootClock::now());
+      }));
+}
+
+void Owner::Hold(const BackendEntry& to, platform::HoldOrder order) {
+  const Time sent = BootClock::now();
+  parts_.metrics->Count("bw_orders_total", R"(kind="hold")");
+  const milliseconds timeout =
+      kOrderTimeout + milliseconds(static_cast<int64_t>(order.wait_ms));
+  parts_.http->Send(
+      platform::MakeHoldCall(to, order, timeout), {},
+      ForThisCell([this, id = to.id, sent](const net::HttpResult& result) {
+        cell_->OnReport(id, platform::ReadReport(result), sent,
+                        BootClock::now());
+      }));
+}
+
+Owner::AdviceChannel* Owner::PickChannel(milliseconds expected,
+                                         Time now,
+                                         std::string* to) {
+  const auto& members = parts_.membership->Members();
+  const bool is_long = expected > kLongAdvice;
+  const size_t usable =
+      is_long ? std::max<size_t>(1, members.size() * 2 / 3) : members.size();
+  AdviceChannel* best = nullptr;
+  for (size_t n = 0; n < members.size(); ++n) {
+    // Long questions go to the first ones, quick ones rather to the last.
+    const std::string& name = is_long ? members[n]
+                                      : members[members.size() - 1 - n];
+    AdviceChannel& it = channels_[name];
+    if ((is_long && n >= usable) || it.avoid_until > now) {
+      continue;
+    }
+    if (best == nullptr || it.busy_until < best->busy_until) {
+      best = &it;
+      *to = name;
+    }
+    if (best->busy_until <= now) {
+      break;
+    }
+  }
+  return best;
+}
+
+bool Owner::AskAdvice(const StepRef& step,
+                      const std::vector<BackendId>& backends,
+                      milliseconds expected) {
+  const Time now = BootClock::now();
+  std::string to;
+  AdviceChannel* channel = PickChannel(expected, now, &to);
+  if (channel == nullptr || channel->busy_until > now + kAdviceBacklog) {
+    return false;
+  }
+  channel->busy_until = std::max(channel->busy_until, now) + expected;
+  const milliseconds give_up =
+      std::chrono::duration_cast<milliseconds>(channel->busy_until - now) +
+      kAdviceSlack;
+  std::vector<std::string> names;
+  names.reserve(backends.size());
+  for (const auto& it : backends) {
+    names.push_back(it.value);
+  }
+  if (parts_.membership->IsSelf(to)) {
+    parts_.advisor->Ask(
+        platform::StepName(step), std::move(names), give_up,
+        [this, tenure = tenure_, step,
+         backends](const platform::AdviceAnswer& answer) {
+          if (tenure == tenure_) {
+            cell_->OnAdvice(step, backends, answer, BootClock::now());
+          }
+        });
+    return true;
+  }
+  proto::Envelope question;
+  auto* call = question.mutable_advice_call();
+  call->set_step(platform::StepName(step));
+  call->set_wait_ms(static_cast<uint32_t>(give_up.count()));
+  for (auto& it : names) {
+    call->add_backends(std::move(it));
+  }
+  const auto finish = [this, tenure = tenure_, step, backends,
+                       to](platform::AdviceAnswer answer) {
+    parts_.core->PostWaiting([this, tenure, step, backends, to, answer] {
+      if (tenure != tenure_) {
+        return;
+      }
+      const Time at = BootClock::now();
+      if (!answer.answered && !answer.overloaded) {
+        channels_[to].avoid_until = at + kAvoidChannel;
+      }
+      cell_->OnAdvice(step, backends, answer, at);
+    });
+  };
+  mesh_->Ask(
+      to, std::move(question), give_up,
+      [finish](const proto::Envelope* envelope) {
+        platform::AdviceAnswer answer;
+        if (envelope != nullptr && envelope->has_advice_reply()) {
+          const auto& reply = envelope->advice_reply();
+          answer.answered = reply.answered();
+          answer.overloaded = reply.overloaded();
+          answer.valid_ms = reply.valid_ms();
+          for (const auto& it : reply.good()) {
+            answer.good.push_back({BackendId(it.backend()), it.text()});
+          }
+        }
+        finish(std::move(answer));
+      },
+      [finish] {
+        // No connection yet: it is being made.
+        platform::AdviceAnswer answer;
+        answer.overloaded = true;
+        finish(std::move(answer));
+      });
+  return true;
+}
+
+uint64_t Owner::Keep(std::vector<std::string> records,
+                     std::function<void()> done) {
+  return log_->Keep(std::move(records), std::move(done));
+}
+
+bool Owner::Withdraw(uint64_t number) {
+  return log_->Withdraw(number);
+}
+
+void Owner::OnFenced() {
+  const uint64_t tenure = tenure_;
+  // Not at once: the cell is in the middle of an event.
+  parts_.core->Post([this, tenure] {
+    if (tenure == tenure_) {
+      parts_.membership->Rejoin();
+    }
+  });
+}
+
+bool Owner::MayAct() const {
+  return parts_.membership->MayAct();
+}
+
+bool Owner::IsSettled() const {
+  return parts_.membership->RenewalAgeMs(BootClock::now()) < kSettledMs;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/platform/advice.cc
@@ -0,0 +1,42 @@
+#include "advice.h"
+
+#include "json_func.h"
+
+namespace bw::platform {
+
+using nlohmann::json;
+
+net::HttpCall MakeAdviceCall(const std::string& address,
+                             const std::string& step_name,
+                             const std::vector<std::string>& backends,
+                             milliseconds timeout) {
+  net::HttpCall out;
+  out.method = "POST";
+  out.url = "http://" + address + "/v1/advise";
+  out.headers = {{"Content-Type", "application/json"}};
+  out.body = json{{"step", step_name}, {"workers", backends}}.dump();
+  out.timeout = timeout;
+  return out;
+}
+
+AdviceAnswer ReadAdviceAnswer(const net::HttpResult& result) {
+  AdviceAnswer out;
+  if (!result.Ok()) {
+    constexpr int kTooManyCalls = 429;
+    out.overloaded = result.status == kTooManyCalls;
+    return out;
+  }
+  const json body = ParseObject(result.body);
+  out.answered = true;
+  out.valid_ms = NumberOf(body, "validMs").value_or(0);
+  for (const json& it : ListOf(body, "good")) {
+    if (it.is_array() && it.size() >= 2 && it[0].is_string() &&
+        it[1].is_string()) {
+      out.good.push_back(
+          {BackendId(it[0].get<std::string>()), it[1].get<std::string>()});
+    }
+  }
+  return out;
+}
+
+}  // namespace bw::platform
--- /dev/null
+++ b/src/platform/backend.cc
@@ -0,0 +1,286 @@
+#include "backend.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "../text_func.h"
+#include "json_func.h"
+
+namespace bw::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kExpectHeader = "Bilberrywing-Expect-Instance";
+
+constexpr std::array<std::pair<const char*, RunEnd>, 6> kEnds = {{
+    {"done", RunEnd::kDone},
+    {"failed", RunEnd::kFailed},
+    {"stopped", RunEnd::kStopped},
+    {"lapsed", RunEnd::kLapsed},
+    {"broken", RunEnd::kBroken},
+    {"alone", RunEnd::kAlone},
+}};
+
+constexpr std::array<std::pair<const char*, OrderVerdict>, 5> kReasons = {{
+    {"fence", OrderVerdict::kFenced},
+    {"old", OrderVerdict::kSuperseded},
+    {"late", OrderVerdict::kExpired},
+    {"room", OrderVerdict::kNoRoom},
+    {"ticket", OrderVerdict::kNoTicket},
+}};
+
+net::HttpCall MakeCall(const BackendEntry& backend,
+                       const char* name,
+                       const json& body,
+                       milliseconds timeout) {
+  net::HttpCall out;
+  out.method = "POST";
+  out.url = fmt::format("http://{}/v1/{}", backend.address, name);
+  out.headers = {{"Content-Type", "application/json"},
+                 {kExpectHeader, backend.id.value}};
+  out.body = body.dump();
+  out.timeout = timeout;
+  return out;
+}
+
+std::optional<RunRef> ReadRun(const json& name, const json& number) {
+  if (!name.is_string() || !number.is_number_unsigned()) {
+    return std::nullopt;
+  }
+  auto task = ParseTaskName(name.get<std::string>());
+  if (!task) {
+    return std::nullopt;
+  }
+  return RunRef{*task, number.get<uint64_t>()};
+}
+
+std::optional<ListedRun> ReadRunningRow(const json& row) {
+  if (!row.is_array() || row.size() < 2) {
+    return std::nullopt;
+  }
+  auto run = ReadRun(row[0], row[1]);
+  if (!run) {
+    return std::nullopt;
+  }
+  ListedRun out;
+  out.run = std::move(*run);
+  if (row.size() > 2 && row[2].is_string()) {
+    out.saved = row[2].get<std::string>();
+  }
+  if (row.size() > 3 && row[3].is_number_unsigned()) {
+    out.percent = row[3].get<uint32_t>();
+  }
+  if (row.size() > 4 && row[4].is_number()) {
+    out.figure = static_cast<uint64_t>(std::max(0.0, row[4].get<double>()));
+  }
+  return out;
+}
+
+std::optional<ListedEnd> ReadEndedRow(const json& row) {
+  if (!row.is_array() || row.size() < 4 || !row[0].is_number_unsigned() ||
+      !row[3].is_string()) {
+    return std::nullopt;
+  }
+  auto run = ReadRun(row[1], row[2]);
+  if (!run) {
+    return std::nullopt;
+  }
+  ListedEnd out;
+  out.number = row[0].get<uint64_t>();
+  out.run = std::move(*run);
+  const auto how = row[3].get<std::string>();
+  bool known = false;
+  for (const auto& it : kEnds) {
+    if (how == it.first) {
+      out.end = it.second;
+      known = true;
+    }
+  }
+  if (!known) {
+    return std::nullopt;
+  }
+  if (row.size() > 4 && row[4].is_string()) {
+    out.saved = row[4].get<std::string>();
+  }
+  return out;
+}
+
+OrderVerdict ReasonOf(const std::string& body) {
+  const std::string reason = TextOf(ParseObject(body), "reason");
+  for (const auto& it : kReasons) {
+    if (reason == it.first) {
+      return it.second;
+    }
+  }
+  return OrderVerdict::kInvalid;
+}
+
+Resources ReadResources(const json& value) {
+  return {NumberOf(value, "cpu").value_or(0),
+          NumberOf(value, "memMb").value_or(0),
+          NumberOf(value, "gpu").value_or(0)};
+}
+
+}  // namespace
+
+std::string StepName(const StepRef& step) {
+  return fmt::format("{}.{}.{}", step.job.value, step.occurrence, step.step);
+}
+
+std::string TaskName(const TaskRef& task) {
+  return fmt::format("{}.{}.{}.{}", task.job.value, task.occurrence, task.step,
+                     task.index);
+}
+
+std::optional<TaskRef> ParseTaskName(const std::string& name) {
+  const auto parts = SplitList(name, '.');
+  if (parts.size() != 4) {
+    return std::nullopt;
+  }
+  std::array<uint32_t, 3> numbers{};
+  for (size_t n = 0; n < numbers.size(); ++n) {
+    const std::string& it = parts[n + 1];
+    const auto read =
+        std::from_chars(it.data(), it.data() + it.size(), numbers[n]);
+    if (read.ec != std::errc() || read.ptr != it.data() + it.size()) {
+      return std::nullopt;
+    }
+  }
+  return TaskRef{JobId(parts[0]), numbers[0], numbers[1], numbers[2]};
+}
+
+net::HttpCall MakeStartCall(const BackendEntry& backend,
+                            const StartOrder& order,
+                            milliseconds timeout) {
+  json body = {{"task", TaskName(order.run.task)},
+               {"run", order.run.number},
+               {"spec", order.payload},
+               {"deadlineMs", order.lease_end_ms},
+               {"fencingToken", order.fencing_token}};
+  if (!order.saved.empty()) {
+    body["saved"] = order.saved;
+  }
+  if (!order.ticket.empty()) {
+    body["ticket"] = order.ticket;
+  }
+  return MakeCall(backend, "run-start", body, timeout);
+}
+
+net::HttpCall MakeStopCall(const BackendEntry& backend,
+                           const RunRef& run,
+                           uint64_t fencing_token,
+                           milliseconds timeout) {
+  return MakeCall(backend, "run-stop",
+                  {{"task", TaskName(run.task)},
+                   {"run", run.number},
+                   {"fencingToken", fencing_token}},
+                  timeout);
+}
+
+net::HttpCall MakeHoldCall(const BackendEntry& backend,
+                           const HoldOrder& order,
+                           milliseconds timeout) {
+  json body = {{"fencingToken", order.fencing_token},
+               {"ackCursor", order.acknowledged}};
+  if (order.lease_end_ms) {
+    body["deadlineMs"] = *order.lease_end_ms;
+  }
+  if (order.wait_ms > 0) {
+    body["waitMs"] = order.wait_ms;
+  }
+  return MakeCall(backend, "hold", body, timeout);
+}
+
+net::HttpCall MakePaceCall(const BackendEntry& backend,
+                           const RunRef& run,
+                           uint32_t percent,
+                           uint64_t fencing_token,
+                           milliseconds timeout) {
+  return MakeCall(backend, "pace",
+                  {{"task", TaskName(run.task)},
+                   {"run", run.number},
+                   {"percent", percent},
+                   {"fencingToken", fencing_token}},
+                  timeout);
+}
+
+OrderVerdict ReadVerdict(const net::HttpResult& result) {
+  if (result.fate == net::CallFate::kNotSent) {
+    return OrderVerdict::kNotSent;
+  }
+  if (result.fate == net::CallFate::kUnknown) {
+    return OrderVerdict::kUnknown;
+  }
+  if (result.Ok()) {
+    return OrderVerdict::kDone;
+  }
+  switch (result.status) {
+    case 409:
+      return ReasonOf(result.body);
+    case 421:
+      return OrderVerdict::kOtherIncarnation;
+    case 429:
+    case 503:
+      return OrderVerdict::kUnhealthy;
+    default:
+      return OrderVerdict::kInvalid;
+  }
+}
+
+BackendReport ReadReport(const net::HttpResult& result) {
+  BackendReport out;
+  out.verdict = ReadVerdict(result);
+  if (out.verdict != OrderVerdict::kDone) {
+    return out;
+  }
+  const json body = ParseObject(result.body);
+  out.clock_ms = NumberOf(body, "clockMs").value_or(0);
+  out.incarnation = NumberOf(body, "born").value_or(0);
+  for (const json& it : ListOf(body, "running")) {
+    if (auto row = ReadRunningRow(it)) {
+      out.running.push_back(std::move(*row));
+    }
+  }
+  for (const json& it : ListOf(body, "ended")) {
+    if (auto row = ReadEndedRow(it)) {
+      out.ended.push_back(std::move(*row));
+    }
+  }
+  return out;
+}
+
+std::optional<BackendEntry> ReadBackendEntry(const std::string& id,
+                                             const std::string& value) {
+  const json body = ParseObject(value);
+  BackendEntry out;
+  out.id = BackendId(id);
+  out.service = TextOf(body, "service");
+  out.address = TextOf(body, "address");
+  out.zone = ZoneId(TextOf(body, "zone"));
+  const std::string state = TextOf(body, "state");
+  const bool known_state = state == "ready" || state == "draining";
+  if (out.service.empty() || SplitAddress(out.address).port == 0 ||
+      !known_state || body.find("capacity") == body.end()) {
+    return std::nullopt;
+  }
+  out.draining = state == "draining";
+  out.incarnation = NumberOf(body, "born").value_or(0);
+  out.remaining_ms = NumberOf(body, "remainingMs");
+  out.capacity = ReadResources(body["capacity"]);
+  for (const json& it : ListOf(body, "labels")) {
+    if (it.is_string()) {
+      out.labels.push_back(it.get<std::string>());
+    }
+  }
+  // The labels are the kind and the rack, in this order.
+  if (out.labels.size() > 1) {
+    out.rack = out.labels.back();
+  }
+  return out;
+}
+
+}  // namespace bw::platform
--- /dev/null
+++ b/src/platform/configuration.cc
@@ -0,0 +1,83 @@
+#include "configuration.h"
+
+#include "../text_func.h"
+#include "json_func.h"
+
+namespace bw::platform {
+namespace {
+
+using nlohmann::json;
+
+QueuePolicy ReadQueue(const json& route) {
+  QueuePolicy out;
+  out.name = QueueId(TextOf(route, "name"));
+  out.host = TextOf(route, "host");
+  out.path_prefix = TextOf(route, "pathPrefix");
+  out.service = TextOf(route, "service");
+  out.priority = static_cast<uint32_t>(NumberOf(route, "priority").value_or(0));
+  out.max_attempts =
+      static_cast<uint32_t>(NumberOf(route, "maxAttempts").value_or(1));
+  out.stretch = RealOf(route, "stretch", 1);
+  out.target_latency_ms = NumberOf(route, "targetLatencyMs").value_or(0);
+  out.anonymous = FlagOf(route, "anonymous");
+  auto advice = route.find("advice");
+  if (advice != route.end() && advice->is_object()) {
+    out.advice = AdvicePolicy{RealOf(*advice, "decideMs", 0),
+                              RealOf(*advice, "eachMs", 0),
+                              NumberOf(*advice, "validMs").value_or(0)};
+  }
+  return out;
+}
+
+AccountPolicy ReadAccount(const json& tenant) {
+  AccountPolicy out;
+  out.name = TeamId(TextOf(tenant, "name"));
+  out.weight = RealOf(tenant, "weight", 1);
+  for (const json& it : ListOf(tenant, "apiKeys")) {
+    if (it.is_string()) {
+      out.keys.push_back(HashKey(it.get<std::string>()));
+    }
+  }
+  auto most = tenant.find("maximum");
+  if (most != tenant.end()) {
+    out.maximum = {NumberOf(*most, "cpu").value_or(0),
+                   NumberOf(*most, "memMb").value_or(0),
+                   NumberOf(*most, "gpu").value_or(0)};
+  }
+  return out;
+}
+
+}  // namespace
+
+std::shared_ptr<const CellConfig> ReadConfiguration(const std::string& value) {
+  const json body = ParseObject(value);
+  const auto version = NumberOf(body, "version");
+  if (!version) {
+    return nullptr;
+  }
+  auto out = std::make_shared<CellConfig>();
+  out->version = *version;
+  for (const json& it : ListOf(body, "routes")) {
+    if (it.is_object()) {
+      out->queues.push_back(ReadQueue(it));
+    }
+  }
+  for (const json& it : ListOf(body, "tenants")) {
+    if (it.is_object()) {
+      out->accounts.push_back(ReadAccount(it));
+    }
+  }
+  for (const auto& account : out->accounts) {
+    for (const auto& key : account.keys) {
+      out->teams_by_key.emplace(key, account.name);
+    }
+  }
+  auto limits = body.find("limits");
+  if (limits != body.end()) {
+    out->max_body_bytes =
+        NumberOf(*limits, "maxBodyBytes").value_or(out->max_body_bytes);
+  }
+  return out;
+}
+
+}  // namespace bw::platform
--- /dev/null
+++ b/src/platform/ingress.cc
@@ -0,0 +1,155 @@
+#include "ingress.h"
+
+#include <charconv>
+
+#include "json_func.h"
+
+namespace bw::platform {
+namespace {
+
+using nlohmann::json;
+
+constexpr const char* kKeyHeader = "bilberrywing-credential";
+constexpr const char* kDeadlineHeader = "bilberrywing-deadline-ms";
+constexpr milliseconds kDefaultWait{3000};
+constexpr size_t kJobNameLength = 16;
+constexpr uint32_t kMaxTasksInStep = 100'000;
+
+StepSpec ReadStep(const json& row) {
+  StepSpec out;
+  out.count = static_cast<uint32_t>(NumberOf(row, "count").value_or(1));
+  out.need = {NumberOf(row, "cpu").value_or(0),
+              NumberOf(row, "memMb").value_or(0),
+              NumberOf(row, "gpu").value_or(0)};
+  out.estimate_ms = NumberOf(row, "estimateMs").value_or(0);
+  for (const json& it : ListOf(row, "dependsOn")) {
+    if (it.is_number_unsigned()) {
+      out.after.push_back(it.get<uint32_t>());
+    }
+  }
+  out.gang = FlagOf(row, "gang");
+  out.same_rack = FlagOf(row, "sameRack");
+  out.checkpoint = FlagOf(row, "checkpoint");
+  out.speculative = FlagOf(row, "speculative");
+  out.perpetual = FlagOf(row, "perpetual");
+  out.fills = FlagOf(row, "fills");
+  out.label = TextOf(row, "requires");
+  out.rack = TextOf(row, "affinity");
+  out.per_server =
+      static_cast<uint32_t>(NumberOf(row, "antiAffinity").value_or(0));
+  out.image = TextOf(row, "image");
+  out.target_ms = NumberOf(row, "targetMs").value_or(0);
+  if (auto n = NumberOf(row, "mayMiss")) {
+    out.may_miss = static_cast<uint32_t>(*n);
+  }
+  return out;
+}
+
+bool IsOrdered(const BatchSpec& spec) {
+  for (size_t n = 0; n < spec.steps.size(); ++n) {
+    for (uint32_t before : spec.steps[n].after) {
+      if (before >= n) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+IngressCall ReadIngressCall(const net::HttpRequest& request) {
+  IngressCall out;
+  if (request.method == "POST") {
+    out.kind = IngressKind::kSubmit;
+  } else if (request.method == "GET") {
+    out.kind = IngressKind::kState;
+  } else if (request.method == "DELETE") {
+    out.kind = IngressKind::kCancel;
+  }
+  out.host = request.Header("host");
+  if (const auto n = out.host.find(':'); n != std::string::npos) {
+    out.host.resize(n);
+  }
+  out.path = request.path;
+  out.api_key = request.Header(kKeyHeader);
+  const std::string wait = request.Header(kDeadlineHeader);
+  int64_t ms = 0;
+  const auto read = std::from_chars(wait.data(), wait.data() + wait.size(), ms);
+  out.wait = read.ec == std::errc() && ms > 0 ? milliseconds(ms) : kDefaultWait;
+  out.body = request.body;
+  return out;
+}
+
+const QueuePolicy* FindRoute(const CellConfig& config,
+                             const std::string& host,
+                             const std::string& path) {
+  const QueuePolicy* best = nullptr;
+  for (const auto& it : config.queues) {
+    if (it.host == host && path.starts_with(it.path_prefix) &&
+        (best == nullptr ||
+         it.path_prefix.size() > best->path_prefix.size())) {
+      best = &it;
+    }
+  }
+  return best;
+}
+
+bool IsJobName(const std::string& text) {
+  return text.size() == kJobNameLength &&
+         text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+SpecFault ReadBatchSpec(const std::string& body, BatchSpec* spec) {
+  const json object = json::parse(body, nullptr, /*allow_exceptions=*/false);
+  if (!object.is_object()) {
+    return SpecFault::kNotReadable;
+  }
+  spec->payload = TextOf(object, "spec");
+  for (const json& it : ListOf(object, "steps")) {
+    if (!it.is_object()) {
+      return SpecFault::kNotReadable;
+    }
+    spec->steps.push_back(ReadStep(it));
+    if (spec->steps.back().count == 0 ||
+        spec->steps.back().count > kMaxTasksInStep) {
+      return SpecFault::kNotReadable;
+    }
+  }
+  spec->start_at_ms = NumberOf(object, "startAtMs").value_or(0);
+  spec->repeat_count = NumberOf(object, "repeatCount").value_or(0);
+  spec->interval_ms = NumberOf(object, "intervalMs").value_or(0);
+  if (spec->steps.empty()) {
+    return SpecFault::kNoSteps;
+  }
+  return IsOrdered(*spec) ? SpecFault::kNone : SpecFault::kBadOrder;
+}
+
+net::HttpResponse StateAnswer(const std::string& state) {
+  net::HttpResponse out;
+  out.body = json{{"state", state}}.dump();
+  return out;
+}
+
+net::HttpResponse CountAnswer(uint64_t waiting) {
+  net::HttpResponse out;
+  out.body = json{{"waiting", waiting}}.dump();
+  return out;
+}
+
+net::HttpResponse ErrorAnswer(int status,
+                              const std::string& reason,
+                              uint32_t retry_after_ms) {
+  net::HttpResponse out;
+  out.status = status;
+  out.body = json{{"reason", reason}}.dump();
+  if (retry_after_ms > 0) {
+    constexpr uint32_t kMsPerSecond = 1000;
+    out.headers.emplace_back(
+        "Retry-After",
+        std::to_string((retry_after_ms + kMsPerSecond - 1) / kMsPerSecond));
+  }
+  return out;
+}
+
+}  // namespace bw::platform
--- a/src/setting.cc
+++ b/src/setting.cc
@@ -27,8 +27,19 @@
   return n;
 }
 
+std::optional<double> ParseReal(const std::string& text) {
+  double n = 0;
+  auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+  if (ec != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return n;
+}
+
 std::string AllowedText(const SettingDesc& desc) {
   switch (desc.type) {
+    case SettingType::kReal:
+      return fmt::format("a number from {} to {}", desc.min, desc.max);
     case SettingType::kInt:
       return fmt::format("a whole number from {} to {}", desc.min, desc.max);
     case SettingType::kName:
@@ -48,6 +59,11 @@
 bool IsAllowed(const SettingDesc& desc, const std::string& value) {
   constexpr std::string_view kScheme = "http://";
   switch (desc.type) {
+    case SettingType::kReal: {
+      auto n = ParseReal(value);
+      return n && *n >= static_cast<double>(desc.min) &&
+             *n <= static_cast<double>(desc.max);
+    }
     case SettingType::kInt: {
       auto n = ParseInt(value);
       return n && *n >= desc.min && *n <= desc.max;
@@ -143,6 +159,10 @@
     const std::string name = NameOf(it);
     auto [value, added] =
         out.values_.try_emplace(name, it.preset == nullptr ? "" : it.preset);
+    if (it.type == SettingType::kReal && value->second.empty() &&
+        it.preset != nullptr) {
+      value->second = it.preset;
+    }
     if (added && it.preset == nullptr) {
       faults->push_back(
           {file, it.section, it.key, "must be given: " + AllowedText(it)});
@@ -166,6 +186,10 @@
   return ParseInt(Text(name)).value_or(0);
 }
 
+double Settings::Real(std::string_view name) const {
+  return ParseReal(Text(name)).value_or(0);
+}
+
 std::vector<std::string> Settings::List(std::string_view name) const {
   return SplitList(Text(name), ',');
 }
--- a/src/setting_base.h
+++ b/src/setting_base.h
@@ -40,6 +40,7 @@
   /// @pre The name "section.key" is in the table.
   const std::string& Text(std::string_view name) const;
   int64_t Int(std::string_view name) const;
+  double Real(std::string_view name) const;
   std::vector<std::string> List(std::string_view name) const;
 
  private:
--- a/src/setting_type.h
+++ b/src/setting_type.h
@@ -12,6 +12,7 @@
   kAddress,  ///< "ip:port"
   kUrl,      ///< "http://ip:port"
   kInt,      ///< A whole number from `min` to `max`.
+  kReal,     ///< A number from `min` to `max`; empty means the default.
   kList,     ///< Texts separated by commas.
 };
 
