Fix: [Owner] Ownership stays put; leases, failures and passes counted right

Cause: the group deals its partitions anew whenever a member comes or goes, so the cell moved with every restart; a new owner took a lease it had not granted as lapsed (TWICE); ends not yet acknowledged were counted again as failures by the next owner (LOST); placing passes over hundreds of waiting steps starved the owner until its term lapsed. Ruled out: the store (answers in 6 ms), the mesh. Change: a group that only the owner is a member of; former leases last the longest lease; a failure is counted by its run number; passes are bounded.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -21,6 +21,9 @@
 /// surely did not leave.
 constexpr milliseconds kStoreWait{800};
 
+/// Shortest time between two placing passes: events come in bursts.
+constexpr milliseconds kPassPause{5};
+
 CellOutcome Accept(const char* state) {
   CellOutcome out;
   out.state = state;
@@ -160,6 +163,7 @@
   job.policy = *policy;
   job.accepted_ms = wall_ms_;
   job.accepted = now;
+  job.arrival = ++arrivals_;
   job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
   const AccountPolicy* account = config_->FindAccount(team);
   job.over_share =
@@ -244,12 +248,21 @@
   UpdateReady(job, number, now);
 }
 
+void Cell::UpdateRemaining(const Job& job, Occurrence* occurrence) {
+  std::vector<bool> still_to_do;
+  for (const auto& it : occurrence->steps) {
+    still_to_do.push_back(it.done < it.tasks.size());
+  }
+  occurrence->remaining_ms = LongestChainMs(job.spec, still_to_do);
+}
+
 /// Makes steps ready whose predecessors are done.
 void Cell::UpdateReady(Job* job, uint32_t occurrence, Time now) {
   auto found = job->occurrences.find(occurrence);
   if (found == job->occurrences.end() || job->state != JobState::kActive) {
     return;
   }
+  UpdateRemaining(*job, &found->second);
   auto& steps = found->second.steps;
   for (uint32_t n = 0; n < steps.size(); ++n) {
     if (steps[n].ready) {
@@ -429,8 +442,11 @@
 }
 
 void Cell::Run(Time now) {
-  if (port_->MayAct()) {
+  if (port_->MayAct() && now >= next_pass_) {
     Place(now);
+    // A pass takes at most a third of the core thread's time.
+    const Time end = BootClock::now();
+    next_pass_ = end + std::max<Duration>(kPassPause, 2 * (end - now));
   }
   KeepChanges();
 }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -198,12 +198,15 @@
     uint64_t acknowledged = 0;  ///< Ends up to here are stored.
     Time suspect_until = kNever;
     uint32_t strikes = 0;  ///< Failures in a row.
+    uint32_t rack = 0;     ///< Number of its rack.
+    uint32_t pass_index = 0xffffffff;  ///< Its place in the present pass.
     Time avoid_until = kNever;
   };
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
     TaskPhase phase = TaskPhase::kWaiting;
     uint32_t failures = 0;
+    uint64_t last_failed_run = 0;  ///< Newest run whose failure is counted.
     uint64_t run = 0;       ///< Newest run number used.
     BackendId where;        ///< While live.
     BackendId failed_on;    ///< Where it failed last.
@@ -235,6 +238,7 @@
   struct Occurrence {
     std::vector<Step> steps;
     uint32_t steps_done = 0;
+    uint64_t remaining_ms = 0;  ///< Longest chain of what is still to do.
   };
   struct Job {
     JobId id;
@@ -245,6 +249,7 @@
     QueuePolicy policy;  ///< As last configured.
     uint64_t accepted_ms = 0;
     Time accepted = kNever;
+    uint64_t arrival = 0;
     bool over_share = false;
     bool inherited = false;
     bool stored = false;
@@ -271,6 +276,7 @@
   Step* FindStep(const StepRef& ref, Job** job);
   Task* FindTask(const TaskRef& ref, Job** job, Step** step);
   void AddOccurrence(Job* job, uint32_t number, Time now);
+  static void UpdateRemaining(const Job& job, Occurrence* occurrence);
   void UpdateReady(Job* job, uint32_t occurrence, Time now);
   void OpenDueOccurrences(Job* job, uint64_t wall_ms, Time now);
   void EndJob(Job* job, JobState state, Time now);
@@ -281,6 +287,7 @@
   CellOutcome Refuse(CellVerdict verdict, const char* reason) const;
 
   // cell_server.cc: backend servers and runs.
+  uint32_t RackNumber(const std::string& rack);
   void ForgetIncarnation(Server* server, Time now);
   void KeepServer(Server* server);
   void DropServerIfIdle(const BackendId& id);
@@ -313,11 +320,11 @@
   void Place(Time now);
   WaitingStep Describe(const Job& job, const StepRef& ref, const Step& step,
                        Time now) const;
-  void PlaceStep(Pass* pass, const StepRef& ref);
+  void OpenPass(Pass* pass);
+  void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
+  bool PlaceStep(Pass* pass, const StepRef& ref);
   void FillRooms(Pass* pass, const Job& job, const StepRef& ref,
                  const Step& step);
-  bool HasTicket(const Job& job, const Step& step, const BackendId& id,
-                 Time now) const;
   void AskForAdvice(Pass* pass, Job* job, const StepRef& ref, Step* step,
                     const StepNeed& need);
   void AskAhead(Time now);
@@ -357,6 +364,8 @@
   Time loaded_at_ = kNever;
   bool settled_ = false;  ///< No former owner's run can be hidden any more.
   Time next_ahead_ = kNever;
+  Time next_pass_ = kNever;
+  uint64_t arrivals_ = 0;
   Time next_sweep_ = kNever;
 };
 
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -26,6 +26,8 @@
 constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
 /// Gangs that room is kept for at once.
 constexpr uint32_t kMaxReservations = 3;
+/// Steps without room that one pass looks at; the rest comes after them.
+constexpr uint32_t kMaxUnplaced = 150;
 
 int64_t SignedMs(uint64_t n) {
   return static_cast<int64_t>(n);
@@ -68,39 +70,43 @@
                            const Step& step,
                            Time now) const {
   WaitingStep out;
-  out.step = ref;
+  out.arrival = job.arrival;
+  out.step = ref.step;
   out.priority = job.policy.priority;
   out.over_share = job.over_share;
-  const auto& occurrence = job.occurrences.at(ref.occurrence);
-  std::vector<bool> still_to_do;
-  for (const auto& it : occurrence.steps) {
-    still_to_do.push_back(it.done < it.tasks.size());
-  }
-  out.remaining_ms = SignedMs(LongestChainMs(job.spec, still_to_do));
+  out.remaining_ms = SignedMs(job.occurrences.at(ref.occurrence).remaining_ms);
   const bool timed = job.spec.start_at_ms > 0 || job.spec.repeat_count > 0;
-  const auto age = SignedMs(AgeMs(timed ? step.waits_since : job.accepted, now));
+  const auto age =
+      SignedMs(AgeMs(timed ? step.waits_since : job.accepted, now));
   out.objective_in_ms = SignedMs(job.objective.in_time_ms) - age;
   out.worthless_in_ms = SignedMs(job.objective.late_ms) - age;
   return out;
 }
 
-void Cell::Place(Time now) {
-  if (ready_.empty() || servers_.empty()) {
-    return;
-  }
-  Pass pass;
-  pass.now = now;
+/// Takes in the servers that may get work now.
+void Cell::OpenPass(Pass* pass) {
   for (auto& it : servers_) {
     Server& server = it.second;
+    server.pass_index = kNoServer;
     const bool open = server.listed && server.known && server.kept &&
                       !server.entry.draining && server.foreign_runs == 0 &&
-                      server.suspect_until <= now;
+                      server.suspect_until <= pass->now;
     if (open) {
-      pass.servers.push_back(&server);
-      pass.free.push_back(Less(server.entry.capacity, server.used));
+      server.pass_index = static_cast<uint32_t>(pass->servers.size());
+      pass->servers.push_back(&server);
+      pass->free.push_back(Less(server.entry.capacity, server.used));
     }
   }
-  std::vector<WaitingStep> order;
+}
+
+void Cell::Place(Time now) {
+  if (ready_.empty() || servers_.empty()) {
+    return;
+  }
+  Pass pass;
+  pass.now = now;
+  OpenPass(&pass);
+  std::vector<std::pair<WaitingStep, const StepRef*>> order;
   for (auto it = ready_.begin(); it != ready_.end();) {
     Job* job = nullptr;
     Step* step = FindStep(*it, &job);
@@ -109,30 +115,43 @@
       continue;
     }
     if (!job->inherited || settled_) {
-      order.push_back(Describe(*job, *it, *step, now));
-    }
-    if (!settled_ && job->inherited) {
+      order.emplace_back(Describe(*job, *it, *step, now), &*it);
+    } else {
       Resources& hidden = pass.hidden[job->team];
       const auto waits = step->tasks.size() - step->done - step->live;
       hidden = hidden + Times(job->spec.steps[it->step].need, waits);
     }
     ++it;
   }
-  std::sort(order.begin(), order.end(), ComesBefore);
+  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
+    return ComesBefore(a.first, b.first);
+  });
+  uint32_t looked_at = 0;
   for (const auto& it : order) {
-    PlaceStep(&pass, it.step);
+    const StepRef ref = *it.second;  // PlaceStep may take it out of `ready_`.
+    if (!PlaceStep(&pass, ref) && ++looked_at >= kMaxUnplaced) {
+      break;
+    }
   }
 }
 
-bool Cell::HasTicket(const Job& job,
-                     const Step& step,
-                     const BackendId& id,
-                     Time now) const {
-  if (!job.policy.advice) {
-    return true;
+/// Leaves only servers usable whose ticket is still valid at `valid_at`.
+void Cell::LimitToTickets(Pass* pass, const Step& step, Time valid_at) {
+  std::vector<uint32_t> admitted;
+  for (const auto& it : step.advice.good) {
+    auto server = servers_.find(it.first);
+    if (it.second.until > valid_at && server != servers_.end() &&
+        server->second.pass_index != kNoServer &&
+        pass->rooms[server->second.pass_index].usable) {
+      admitted.push_back(server->second.pass_index);
+    }
+  }
+  for (auto& it : pass->rooms) {
+    it.usable = false;
+  }
+  for (uint32_t n : admitted) {
+    pass->rooms[n].usable = true;
   }
-  auto it = step.advice.good.find(id);
-  return it != step.advice.good.end() && it->second.until > now + kTicketMargin;
 }
 
 void Cell::FillRooms(Pass* pass,
@@ -159,14 +178,12 @@
     room = {};
     room.total = server.entry.capacity;
     room.free = pass->free[n];
-    room.rack = racks_.try_emplace(server.entry.rack,
-                                   static_cast<uint32_t>(racks_.size()))
-                    .first->second;
+    room.rack = server.rack;
     if (auto it = of_step.find(server.entry.id); it != of_step.end()) {
       room.of_step = it->second;
     }
     room.penalty = server.strikes;
-    if (failed_on.contains(server.entry.id)) {
+    if (!failed_on.empty() && failed_on.contains(server.entry.id)) {
       room.penalty += 1;
     }
     room.usable =
@@ -209,11 +226,12 @@
        slots(most.accelerators, used.accelerators, need.accelerators)}));
 }
 
-void Cell::PlaceStep(Pass* pass, const StepRef& ref) {
+/// @return True if nothing of the step waits any more.
+bool Cell::PlaceStep(Pass* pass, const StepRef& ref) {
   Job* job = nullptr;
   Step* step = FindStep(ref, &job);
   if (step == nullptr || step->not_before > pass->now || step->breaking) {
-    return;
+    return false;
   }
   const StepSpec& spec = job->spec.steps[ref.step];
   std::vector<uint32_t> waiting;
@@ -226,7 +244,7 @@
     if (waiting.empty()) {
       ready_.erase(ref);
     }
-    return;
+    return waiting.empty();
   }
   StepNeed need;
   need.task = RoomOf(spec);
@@ -241,15 +259,13 @@
   need.near_only = !spec.rack.empty() && waited < patience;
   const uint32_t allowed = QuotaSlots(*pass, *job, spec.need);
   if (allowed == 0 || (spec.gang && allowed < need.count)) {
-    return;
+    return false;
   }
   need.count = std::min(need.count, allowed);
   FillRooms(pass, *job, ref, *step);
   auto rooms = pass->rooms;
-  for (size_t n = 0; n < rooms.size(); ++n) {
-    pass->rooms[n].usable =
-        rooms[n].usable &&
-        HasTicket(*job, *step, pass->servers[n]->entry.id, pass->now);
+  if (job->policy.advice) {
+    LimitToTickets(pass, *step, pass->now + kTicketMargin);
   }
   const auto fit = FitStep(pass->rooms, need);
   uint64_t gang_run = 0;
@@ -270,11 +286,11 @@
   }
   if (placed == waiting.size()) {
     ready_.erase(ref);
-    return;
+    return true;
   }
   need.count -= std::min(need.count, placed);
   if (need.count == 0) {
-    return;
+    return false;
   }
   for (size_t n = 0; n < rooms.size(); ++n) {
     rooms[n].free = pass->free[n];
@@ -282,15 +298,12 @@
   pass->rooms = std::move(rooms);
   if (job->policy.advice) {
     AskForAdvice(pass, job, ref, step, need);
-    for (size_t n = 0; n < pass->rooms.size(); ++n) {
-      pass->rooms[n].usable =
-          pass->rooms[n].usable &&
-          step->advice.good.contains(pass->servers[n]->entry.id);
-    }
+    LimitToTickets(pass, *step, kNever);
   }
   if (spec.gang && pass->reservations < kMaxReservations) {
     Reserve(pass, need);
   }
+  return false;
 }
 
 /// Keeps room for a gang: what comes later in this pass may not take it.
@@ -474,14 +487,7 @@
   }
   Pass pass;
   pass.now = now;
-  for (auto& it : servers_) {
-    Server& server = it.second;
-    if (server.listed && server.known && !server.entry.draining &&
-        server.suspect_until <= now) {
-      pass.servers.push_back(&server);
-      pass.free.push_back(Less(server.entry.capacity, server.used));
-    }
-  }
+  OpenPass(&pass);
   for (auto& it : jobs_) {
     Job& job = it.second;
     if (job.spec.steps.size() < 2 || !job.policy.advice ||
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -54,6 +54,7 @@
       it->set_occurrence(occurrence.first);
       it->set_step(n);
       it->set_gang_failures(step.gang_failures);
+      it->set_last_failed_run(step.last_failed_run);
       std::vector<bool> done;
       for (uint32_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
@@ -62,6 +63,7 @@
           auto* failed = it->add_failed();
           failed->set_index(i);
           failed->set_failures(task.failures);
+          failed->set_last_run(task.last_failed_run);
         }
         if (!task.saved.empty() && task.phase != TaskPhase::kDone) {
           auto* saved = it->add_saved();
@@ -174,6 +176,7 @@
       now - milliseconds(wall_ms_ > job.accepted_ms ? wall_ms_ - job.accepted_ms
                                                     : 0);
   job.over_share = record.over_share();
+  job.arrival = ++arrivals_;
   job.inherited = true;
   job.stored = true;
   const QueuePolicy* policy =
@@ -220,6 +223,7 @@
   server.entry.capacity = ToResources(record);
   server.entry.labels.assign(record.labels().begin(), record.labels().end());
   server.entry.rack = record.rack();
+  server.rack = RackNumber(record.rack());
   server.kept = true;
   // A lease that a former owner granted last, on a clock that is 2% slow.
   constexpr double kSlowestClock = 0.98;
@@ -246,6 +250,7 @@
     }
     Step& step = steps[it.step()];
     step.gang_failures = it.gang_failures();
+    step.last_failed_run = it.last_failed_run();
     for (uint32_t n = 0; n < step.tasks.size(); ++n) {
       if (IsDone(it.done(), n)) {
         step.tasks[n].phase = TaskPhase::kDone;
@@ -255,6 +260,7 @@
     for (const auto& row : it.failed()) {
       if (row.index() < step.tasks.size()) {
         step.tasks[row.index()].failures = row.failures();
+        step.tasks[row.index()].last_failed_run = row.last_run();
       }
     }
     for (const auto& row : it.saved()) {
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -67,12 +67,18 @@
       dated ? entry.incarnation : server.entry.incarnation;
   server.entry = entry;
   server.entry.incarnation = incarnation;
+  server.rack = RackNumber(entry.rack);
   server.listed = true;
   if (!same && !server.keeping) {
     server.kept = false;
   }
 }
 
+uint32_t Cell::RackNumber(const std::string& rack) {
+  return racks_.try_emplace(rack, static_cast<uint32_t>(racks_.size()))
+      .first->second;
+}
+
 void Cell::DropBackend(const BackendId& id) {
   auto it = servers_.find(id);
   if (it == servers_.end() || !it->second.listed) {
@@ -366,6 +372,11 @@
     LogEvent(Part::kPlacer, "backend_back", {{"backend", backend.value}});
   }
   server->suspect_until = kNever;
+  if (server->clock_at == kNever) {
+    // A former owner may have renewed its leases until just now.
+    server->lease_end_ms =
+        report.clock_ms + static_cast<uint64_t>(options_.hold_max.count());
+  }
   server->known = true;
   server->clear_at = kNever;
   server->clock_ms = report.clock_ms;
@@ -641,9 +652,13 @@
       job->occurrences.at(run.task.occurrence).steps[run.task.step];
   Task& task = step.tasks[run.task.index];
   const StepSpec& spec = job->spec.steps[run.task.step];
-  task.failures += 1;
   task.failed_on = server->entry.id;
-  if (spec.gang && step.last_failed_run != run.number) {
+  if (run.number <= task.last_failed_run) {
+    return;  // A former owner counted it.
+  }
+  task.last_failed_run = run.number;
+  task.failures += 1;
+  if (spec.gang && run.number > step.last_failed_run) {
     step.last_failed_run = run.number;
     step.gang_failures += 1;
   }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -1,8 +1,10 @@
 #include "membership_base.h"
 
 #include <fmt/format.h>
+#include <sodium.h>
 
 #include <algorithm>
+#include <optional>
 
 #include "event_log_func.h"
 #include "text_func.h"
@@ -10,21 +12,42 @@
 namespace bw {
 namespace {
 
-constexpr const char* kGroup = "bilberrywing";
-constexpr const char* kTopic = "keyed.cell";
+constexpr const char* kCellGroup = "bilberrywing-cell";
+constexpr const char* kCellTopic = "keyed.cell";
+constexpr const char* kFleetGroup = "bilberrywing-fleet";
+constexpr const char* kFleetTopic = "bilberrywing-fleet";
 /// A term ends this long before the store ends it.
 constexpr milliseconds kTermMargin{250};
 constexpr uint32_t kMaxJoinsInFlight = 3;
-/// Shortest time between two questions for the owners.
-constexpr milliseconds kOwnersPause{150};
-/// The owner is asked for this often even if nothing seems to change.
-constexpr milliseconds kOwnersEvery{5000};
+/// Shortest time between two questions for the owner, and the longest.
+constexpr milliseconds kOwnerPause{150};
+constexpr milliseconds kOwnerEvery{2000};
+constexpr milliseconds kMembersEvery{2000};
+/// Standbys join at different times, so that mostly one does.
+constexpr uint32_t kStandSpreadMs = 250;
+/// Presence in the fleet is renewed this often, and ends after this.
+constexpr milliseconds kPresenceEvery{1500};
+constexpr uint32_t kPresenceTtlMs = 5000;
 constexpr char kSeparator = '|';
 
+/// A member's name in a group: instance, mesh address, life.
+struct MemberName {
+  std::string instance;
+  std::string address;
+};
+
+std::optional<MemberName> ParseMember(const std::string& text) {
+  const auto parts = SplitList(text, kSeparator);
+  if (parts.size() < 3) {
+    return std::nullopt;
+  }
+  return MemberName{parts[0], parts[1]};
+}
+
 }  // namespace
 
 const platform::Partition& CellPartition() {
-  static const platform::Partition out{kTopic, 0};
+  static const platform::Partition out{kCellTopic, 0};
   return out;
 }
 
@@ -32,8 +55,14 @@
                        platform::Store* store,
                        Loop* core)
     : options_(std::move(options)), store_(store), core_(core) {
-  member_ = fmt::format("{}{}{}{}{}", options_.name, kSeparator,
-                        options_.address, kSeparator, options_.incarnation);
+  presence_ = NewMemberName();
+  member_ = NewMemberName();
+}
+
+std::string Membership::NewMemberName() {
+  return fmt::format("{}{}{}{}{}.{}", options_.name, kSeparator,
+                     options_.address, kSeparator, options_.incarnation,
+                     ++names_given_);
 }
 
 void Membership::Start(std::function<void(uint64_t)> on_gain,
@@ -43,35 +72,59 @@
 }
 
 void Membership::Tick(Time now) {
-  if (!left_ && now >= next_join_ && joins_in_flight_ < kMaxJoinsInFlight) {
+  if (left_) {
+    return;
+  }
+  if (now >= next_presence_) {
+    SendPresence(now);
+  }
+  if (role_ == Role::kStanding && now >= stand_at_ && !asking_owner_) {
+    AskOwner(now);  // Joins if there is still no owner.
+  }
+  if (role_ == Role::kJoined && now >= next_join_ &&
+      joins_in_flight_ < kMaxJoinsInFlight) {
     SendJoin(now);
   }
-  const bool stale = now - owners_asked_ > kOwnersEvery;
-  if (!asking_owners_ && (owners_wanted_ || stale) &&
-      now - owners_asked_ > kOwnersPause) {
-    AskOwners(now);
+  const Time due =
+      owner_asked_ + (owner_doubted_ ? kOwnerPause : kOwnerEvery);
+  if (!asking_owner_ && role_ != Role::kStanding && now >= due) {
+    AskOwner(now);
   }
+  if (owns_ && !asking_members_ && now >= members_asked_ + kMembersEvery) {
+    AskMembers(now);
+  }
+}
+
+void Membership::SendPresence(Time now) {
+  next_presence_ = now + kPresenceEvery;
+  store_->Join(
+      {kFleetGroup, presence_, kFleetTopic, kPresenceTtlMs, fleet_generation_},
+      [this](const platform::JoinAnswer& answer) {
+        if (answer.status == platform::StoreStatus::kOk) {
+          core_->Post([this, generation = answer.generation] {
+            fleet_generation_ = std::max(fleet_generation_, generation);
+          });
+        }
+      });
 }
 
 void Membership::SendJoin(Time now) {
   next_join_ = now + options_.join_every;
   ++joins_in_flight_;
-  const platform::GroupMember member{
-      kGroup, member_, kTopic, static_cast<uint32_t>(options_.ttl.count()),
-      generation_};
-  store_->Join(member, [this, now, name = member_](
-                           const platform::JoinAnswer& answer) {
-    core_->PostWaiting([this, answer, now, name] {
-      --joins_in_flight_;
-      if (name == member_ && !left_) {
-        OnJoin(answer, now);
-      }
-    });
-  });
+  store_->Join({kCellGroup, member_, kCellTopic,
+                static_cast<uint32_t>(options_.ttl.count()), generation_},
+               [this, now, name = member_](const platform::JoinAnswer& answer) {
+                 core_->PostWaiting([this, answer, now, name] {
+                   if (name == member_ && !left_) {
+                     --joins_in_flight_;
+                     OnJoin(answer, now);
+                   }
+                 });
+               });
 }
 
 void Membership::OnJoin(const platform::JoinAnswer& answer, Time sent) {
-  if (answer.status != platform::StoreStatus::kOk ||
+  if (role_ != Role::kJoined || answer.status != platform::StoreStatus::kOk ||
       answer.generation < generation_) {
     return;
   }
@@ -80,17 +133,21 @@
   generation_ = answer.generation;
   renewed_at_ = std::max(renewed_at_, sent);
   term_end_us_ = ToMicros(renewed_at_ + options_.ttl - kTermMargin);
-  owners_wanted_ = owners_wanted_ || changed;
   const bool holds =
       std::find(answer.partitions.begin(), answer.partitions.end(),
                 CellPartition()) != answer.partitions.end();
   if (owns_ && (!holds || (lapsed && changed))) {
     Lose(holds ? "the term lapsed" : "dealt to another member");
-    next_join_ = BootClock::now();
   }
-  if (holds && !owns_) {
+  if (!holds) {
+    if (!answer.partitions.empty() || changed) {
+      LeaveCell();  // Another standby was faster.
+    }
+    return;
+  }
+  if (!owns_) {
     owns_ = true;
-    held_since_ = generation_;
+    owner_address_ = options_.address;
     LogEvent(Part::kMember, "cell_gained", {{"generation", generation_}});
     on_gain_(generation_);
   }
@@ -98,63 +155,112 @@
 
 void Membership::Lose(const char* why) {
   owns_ = false;
+  owner_doubted_ = true;
   LogEvent(Part::kMember, "cell_lost",
            {{"generation", generation_}, {"why", why}});
   on_lose_();
 }
 
+/// Leaves the cell's group. A later join is as a new member, since calls of
+/// this one may still be on their way.
+void Membership::LeaveCell() {
+  store_->Leave(kCellGroup, member_, [](platform::StoreStatus) {});
+  member_ = NewMemberName();
+  joins_in_flight_ = 0;
+  generation_ = 0;
+  role_ = Role::kWatching;
+  owner_doubted_ = true;
+}
+
+void Membership::Resign() {
+  if (owns_) {
+    Lose("another owner was seen");
+  }
+  if (role_ == Role::kJoined) {
+    LeaveCell();
+  }
+}
+
 void Membership::DoubtOwner() {
-  owners_wanted_ = true;
+  owner_doubted_ = true;
 }
 
-void Membership::AskOwners(Time now) {
-  asking_owners_ = true;
-  owners_wanted_ = false;
-  owners_asked_ = now;
-  store_->Owners(kGroup, [this](const platform::OwnersAnswer& answer) {
-    core_->PostWaiting([this, answer] { OnOwners(answer); });
+void Membership::AskOwner(Time now) {
+  asking_owner_ = true;
+  owner_asked_ = now;
+  store_->Owners(kCellGroup, [this](const platform::OwnersAnswer& answer) {
+    core_->PostWaiting([this, answer] { OnOwner(answer); });
   });
 }
 
-void Membership::OnOwners(const platform::OwnersAnswer& answer) {
-  asking_owners_ = false;
-  if (answer.status != platform::StoreStatus::kOk) {
-    owners_wanted_ = true;
+void Membership::OnOwner(const platform::OwnersAnswer& answer) {
+  asking_owner_ = false;
+  if (answer.status != platform::StoreStatus::kOk || left_) {
     return;
   }
   std::string owner;
-  std::vector<std::string> members;
-  std::vector<std::string> dead;
+  bool former_self = false;
   for (const auto& it : answer.owners) {
-    const auto parts = SplitList(it.member, kSeparator);
-    if (parts.size() < 3) {
+    const auto member = ParseMember(it.member);
+    if (!member || it.partition != CellPartition()) {
       continue;
     }
-    if (parts[0] == options_.name && it.member != member_) {
-      dead.push_back(it.member);  // A former life of this process.
+    if (member->instance == options_.name && it.member != member_) {
+      // A former life of this process cannot act any more.
+      former_self = true;
+      store_->Leave(kCellGroup, it.member, [](platform::StoreStatus) {});
       continue;
     }
-    if (std::find(members.begin(), members.end(), parts[1]) == members.end()) {
-      members.push_back(parts[1]);
-    }
-    if (it.partition == CellPartition()) {
-      owner = parts[1];
-    }
+    owner = member->address;
   }
   if (owner != owner_address_) {
     LogEvent(Part::kMember, "owner_known",
-             {{"owner", owner}, {"members", members.size()}});
+             {{"owner", owner}, {"was", owner_address_}});
+    owner_address_ = owner;
   }
-  owner_address_ = owner;
-  members_ = std::move(members);
-  owners_wanted_ = owner.empty();
-  std::sort(dead.begin(), dead.end());
-  dead.erase(std::unique(dead.begin(), dead.end()), dead.end());
-  for (const auto& it : dead) {
-    store_->Leave(kGroup, it, [this](platform::StoreStatus) {
-      core_->Post([this] { owners_wanted_ = true; });
-    });
+  owner_doubted_ = owner.empty();
+  if (role_ == Role::kJoined) {
+    return;
+  }
+  const Time now = BootClock::now();
+  if (!owner.empty() || former_self) {
+    role_ = Role::kWatching;
+  } else if (role_ == Role::kWatching) {
+    role_ = Role::kStanding;
+    stand_at_ = now + milliseconds(randombytes_uniform(kStandSpreadMs));
+  } else {
+    role_ = Role::kJoined;
+    next_join_ = now;
+    LogEvent(Part::kMember, "cell_wanted", {});
+    SendJoin(now);
+  }
+}
+
+void Membership::AskMembers(Time now) {
+  asking_members_ = true;
+  members_asked_ = now;
+  store_->Owners(kFleetGroup, [this](const platform::OwnersAnswer& answer) {
+    core_->PostWaiting([this, answer] { OnMembers(answer); });
+  });
+}
+
+void Membership::OnMembers(const platform::OwnersAnswer& answer) {
+  asking_members_ = false;
+  if (answer.status != platform::StoreStatus::kOk) {
+    return;
+  }
+  std::vector<std::string> members;
+  for (const auto& it : answer.owners) {
+    if (const auto member = ParseMember(it.member)) {
+      members.push_back(member->address);
+    }
+  }
+  std::sort(members.begin(), members.end());
+  members.erase(std::unique(members.begin(), members.end()), members.end());
+  if (members.size() != members_.size()) {
+    LogEvent(Part::kMember, "members_known", {{"members", members.size()}});
   }
+  members_ = std::move(members);
 }
 
 void Membership::Leave(std::function<void()> done) {
@@ -162,20 +268,9 @@
   if (owns_) {
     Lose("shutdown");
   }
-  store_->Leave(kGroup, member_,
+  store_->Leave(kFleetGroup, presence_, [](platform::StoreStatus) {});
+  store_->Leave(kCellGroup, member_,
                 [done = std::move(done)](platform::StoreStatus) { done(); });
 }
 
-void Membership::Rejoin() {
-  if (owns_) {
-    Lose("a higher fencing token was seen");
-  }
-  store_->Leave(kGroup, member_, [](platform::StoreStatus) {});
-  member_ = fmt::format("{}{}{}{}{}{}{}", options_.name, kSeparator,
-                        options_.address, kSeparator, options_.incarnation,
-                        kSeparator, ++renames_);
-  generation_ = 0;
-  next_join_ = BootClock::now() + options_.join_every;
-}
-
 }  // namespace bw
--- a/src/membership_base.h
+++ b/src/membership_base.h
@@ -1,4 +1,5 @@
-// Membership of the group whose partitions are the cells: who owns a cell now.
+// Who owns the cell, and which instances there are: two groups in the
+// platform's store.
 #pragma once
 
 #include <atomic>
@@ -22,9 +23,11 @@
 /// The cell's place in the store.
 const platform::Partition& CellPartition();
 
-/// Keeps this process in the group and knows the owner of the cell. Ownership
-/// counts from when a renewal was sent. Belongs to the core thread, except
-/// where said otherwise.
+/// Two groups. All instances are members of the fleet's group, which says who
+/// there is. Only the owner is a member of the cell's group: as a group deals
+/// anew whenever a member comes or goes, standbys join it only when it is
+/// empty. Ownership counts from when a renewal was sent. Belongs to the core
+/// thread, except where said otherwise.
 class Membership {
  public:
   /// @pre All outlive the membership.
@@ -35,10 +38,11 @@
   void Start(std::function<void(uint64_t)> on_gain,
              std::function<void()> on_lose);
   void Tick(Time now);
-  /// Gives everything back. @param done Runs when the store has answered.
+  /// Gives everything back. @param done Runs when the store has answered, on
+  /// another thread.
   void Leave(std::function<void()> done);
-  /// Joins anew as another member, so that the group deals anew.
-  void Rejoin();
+  /// Gives the cell back after another owner was seen.
+  void Resign();
 
   /// @return True while no other process can own the cell. Thread-safe.
   bool MayAct() const {
@@ -49,7 +53,7 @@
 
   /// @return Mesh address of the owner; empty if there is none.
   const std::string& OwnerAddress() const { return owner_address_; }
-  /// @return Mesh addresses of all known members.
+  /// @return Mesh addresses of all instances, as far as this one knows.
   const std::vector<std::string>& Members() const { return members_; }
   /// The owner did not answer or is none any more: asks the store again.
   void DoubtOwner();
@@ -58,27 +62,44 @@
   }
 
  private:
+  enum class Role : uint8_t {
+    kWatching,  ///< Not in the cell's group.
+    kStanding,  ///< About to join, as there seems to be no owner.
+    kJoined,
+  };
+
   void SendJoin(Time now);
   void OnJoin(const platform::JoinAnswer& answer, Time sent);
-  void AskOwners(Time now);
-  void OnOwners(const platform::OwnersAnswer& answer);
+  void SendPresence(Time now);
+  void AskOwner(Time now);
+  void OnOwner(const platform::OwnersAnswer& answer);
+  void AskMembers(Time now);
+  void OnMembers(const platform::OwnersAnswer& answer);
   void Lose(const char* why);
+  void LeaveCell();
+  std::string NewMemberName();
 
   const MembershipOptions options_;
   platform::Store* const store_;
   Loop* const core_;
   std::function<void(uint64_t)> on_gain_;
   std::function<void()> on_lose_;
-  std::string member_;
-  uint32_t renames_ = 0;
+  Role role_ = Role::kWatching;
+  std::string member_;    ///< In the cell's group; new for each time there.
+  std::string presence_;  ///< In the fleet's group.
+  uint32_t names_given_ = 0;
   uint64_t generation_ = 0;
-  uint64_t held_since_ = 0;  ///< Generation at which the cell was gained.
+  uint64_t fleet_generation_ = 0;
   uint32_t joins_in_flight_ = 0;
   Time next_join_ = kNever;
+  Time stand_at_ = kNever;
   Time renewed_at_ = kNever;
-  Time owners_asked_ = kNever;
-  bool asking_owners_ = false;
-  bool owners_wanted_ = true;
+  Time next_presence_ = kNever;
+  Time owner_asked_ = kNever;
+  Time members_asked_ = kNever;
+  bool asking_owner_ = false;
+  bool asking_members_ = false;
+  bool owner_doubted_ = true;
   bool left_ = false;
   std::atomic<bool> owns_{false};
   std::atomic<uint64_t> term_end_us_{0};
--- a/src/order.cc
+++ b/src/order.cc
@@ -24,11 +24,10 @@
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
   const auto key = [](const WaitingStep& it) {
     return std::make_tuple(OutlookOf(it), it.priority, it.over_share,
-                           it.objective_in_ms - it.remaining_ms);
+                           it.objective_in_ms - it.remaining_ms, it.arrival,
+                           it.step);
   };
-  const auto left = key(a);
-  const auto right = key(b);
-  return left != right ? left < right : a.step < b.step;
+  return key(a) < key(b);
 }
 
 Objective ObjectiveOf(const QueuePolicy& queue, uint64_t chain_ms) {
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -10,12 +10,13 @@
 
 /// What the order needs to know of one waiting step. A plain value.
 struct WaitingStep {
-  StepRef step;
-  uint32_t priority = 0;         ///< Of its queue; 0 comes first.
-  bool over_share = false;       ///< Beyond the rate that its account is owed.
-  int64_t objective_in_ms = 0;   ///< Until its job's latency objective.
-  int64_t worthless_in_ms = 0;   ///< Until its job's end is worth nothing.
-  int64_t remaining_ms = 0;      ///< Shortest time to its job's end.
+  uint64_t arrival = 0;         ///< Order of arrival of its job.
+  uint32_t step = 0;            ///< Number of the step in its job.
+  uint32_t priority = 0;        ///< Of its queue; 0 comes first.
+  bool over_share = false;      ///< Beyond the rate that its account is owed.
+  int64_t objective_in_ms = 0;  ///< Until its job's latency objective.
+  int64_t worthless_in_ms = 0;  ///< Until its job's end is worth nothing.
+  int64_t remaining_ms = 0;     ///< Shortest time to its job's end.
 
   bool operator==(const WaitingStep&) const = default;
 };
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -445,7 +445,7 @@
   // Not at once: the cell is in the middle of an event.
   parts_.core->Post([this, tenure] {
     if (tenure == tenure_) {
-      parts_.membership->Rejoin();
+      parts_.membership->Resign();
     }
   });
 }
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -104,6 +104,7 @@
       answer.expected_sequence == sequence_ + 1;
   if (answer.status == platform::StoreStatus::kOk || repeated_late) {
     first_ = false;
+    last_failure_ = platform::StoreStatus::kOk;
     ++sequence_;
     FinishInFlight();
     return;
@@ -114,11 +115,14 @@
     Send();
     return;
   }
-  LogEvent(Part::kLogClient, "append_failed",
-           {{"status", platform::StatusName(answer.status)},
-            {"epoch", epoch_},
-            {"sequence", sequence_},
-            {"expected", answer.expected_sequence}});
+  if (answer.status != last_failure_) {
+    last_failure_ = answer.status;
+    LogEvent(Part::kLogClient, "append_failed",
+             {{"status", platform::StatusName(answer.status)},
+              {"epoch", epoch_},
+              {"sequence", sequence_},
+              {"expected", answer.expected_sequence}});
+  }
   switch (answer.status) {
     case platform::StoreStatus::kUnknown:
       Send();
--- a/src/record_log_base.h
+++ b/src/record_log_base.h
@@ -59,6 +59,7 @@
   uint64_t sequence_ = 1;
   bool first_ = true;  ///< No append of this epoch has been answered.
   bool sending_ = false;
+  platform::StoreStatus last_failure_ = platform::StoreStatus::kOk;
   Time retry_at_ = kNever;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
