Fix: [Cell] Steps no longer wait for advice that was given at once

Cause: the advisor answered an overload inside the question, and the step was marked as waiting for advice after it (LOST: tasks never started again). Two failures read in another order than they came counted as one (BUDGET). A process that got calls 5 s after SIGTERM was killed with them open (LOST). Ruled out: tickets, quotas and settling (step_waits lines show the reason). Change: the mark comes first and advisors answer later; failures are kept by run; calls are refused 1.6 s before the kill.

--- a/src/advisor.cc
+++ b/src/advisor.cc
@@ -15,7 +15,7 @@
   if (address_.empty() || waiting_.size() >= kMaxWaiting) {
     platform::AdviceAnswer out;
     out.overloaded = true;
-    done(out);
+    core_->Post([done = std::move(done), out] { done(out); });
     return;
   }
   waiting_.push_back({std::move(step_name), std::move(backends),
@@ -29,7 +29,7 @@
     waiting_.pop_front();
     const Time now = BootClock::now();
     if (now >= question.give_up_at) {
-      question.done({});
+      core_->Post([done = std::move(question.done)] { done({}); });
       continue;
     }
     asking_ = true;
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -434,6 +434,11 @@
     next_ahead_ = now + kAheadEvery;
     AskAhead(now);
   }
+  constexpr milliseconds kWaitLogEvery{2000};
+  if (now >= next_wait_log_) {
+    next_wait_log_ = now + kWaitLogEvery;
+    LogLongWaits(now);
+  }
   constexpr milliseconds kSweepEvery{5000};
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepEvery;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -205,8 +205,7 @@
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
     TaskPhase phase = TaskPhase::kWaiting;
-    uint32_t failures = 0;
-    uint64_t last_failed_run = 0;  ///< Newest run whose failure is counted.
+    std::vector<uint64_t> failed_runs;  ///< Whose failures are counted.
     uint64_t run = 0;       ///< Newest run number used.
     BackendId where;        ///< While live.
     BackendId failed_on;    ///< Where it failed last.
@@ -228,10 +227,10 @@
     uint32_t live = 0;
     bool ready = false;     ///< All steps before it are done; its time came.
     bool breaking = false;  ///< A gang that is being taken apart.
-    uint32_t gang_failures = 0;
-    uint64_t last_failed_run = 0;
+    std::vector<uint64_t> failed_runs;  ///< Of a gang.
     Time started = kNever;
     Time waits_since = kNever;
+    const char* why = "";  ///< What it waited for in the last pass.
     Time not_before = kNever;  ///< After an order that was not accepted.
     AdviceState advice;
   };
@@ -328,6 +327,7 @@
   void AskForAdvice(Pass* pass, Job* job, const StepRef& ref, Step* step,
                     const StepNeed& need);
   void AskAhead(Time now);
+  void LogLongWaits(Time now) const;
   uint32_t QuotaSlots(const Pass& pass, const Job& job,
                       const Resources& need) const;
   void StartTask(Pass* pass, Job* job, const TaskRef& ref, Step* step,
@@ -367,6 +367,7 @@
   Time next_pass_ = kNever;
   uint64_t arrivals_ = 0;
   Time next_sweep_ = kNever;
+  Time next_wait_log_ = kNever;
 };
 
 /// @return The name of a state as callers know it.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -244,6 +244,7 @@
     if (waiting.empty()) {
       ready_.erase(ref);
     }
+    step->why = "rest of the gang stops";
     return waiting.empty();
   }
   StepNeed need;
@@ -259,6 +260,7 @@
   need.near_only = !spec.rack.empty() && waited < patience;
   const uint32_t allowed = QuotaSlots(*pass, *job, spec.need);
   if (allowed == 0 || (spec.gang && allowed < need.count)) {
+    step->why = "account at its maximum";
     return false;
   }
   need.count = std::min(need.count, allowed);
@@ -296,6 +298,7 @@
     rooms[n].free = pass->free[n];
   }
   pass->rooms = std::move(rooms);
+  step->why = "room";
   if (job->policy.advice) {
     AskForAdvice(pass, job, ref, step, need);
     LimitToTickets(pass, *step, kNever);
@@ -415,6 +418,8 @@
     candidates.push_back({n, rank, known ? slots : slots * share->second});
   }
   if (expected >= wanted || candidates.empty()) {
+    step->why = expected >= wanted ? "room where it is admitted"
+                                   : "servers not yet asked about";
     return;
   }
   std::sort(candidates.begin(), candidates.end(),
@@ -431,9 +436,11 @@
   }
   const milliseconds time(static_cast<int64_t>(
       policy.base_ms + policy.per_server_ms * static_cast<double>(names.size())));
-  if (port_->AskAdvice(ref, names, time)) {
-    advice.asking = true;
+  advice.asking = true;
+  if (!port_->AskAdvice(ref, names, time)) {
+    advice.asking = false;
   }
+  step->why = advice.asking ? "advice" : "the advice service is busy";
 }
 
 void Cell::OnAdvice(const StepRef& ref,
@@ -479,6 +486,38 @@
   }
 }
 
+/// One line for each of the steps that wait longest, with what they lack.
+void Cell::LogLongWaits(Time now) const {
+  constexpr milliseconds kLong{3000};
+  constexpr uint32_t kMaxLines = 5;
+  uint32_t lines = 0;
+  for (const auto& ref : ready_) {
+    auto job = jobs_.find(ref.job);
+    if (job == jobs_.end()) {
+      continue;
+    }
+    const Step& step = job->second.occurrences.at(ref.occurrence)
+                           .steps[ref.step];
+    if (now - step.waits_since < kLong || ++lines > kMaxLines) {
+      continue;
+    }
+    LogEvent(Part::kPlacer, "step_waits",
+             {{"step", platform::StepName(ref)},
+              {"queue", job->second.queue.value},
+              {"tasks", step.tasks.size()},
+              {"done", step.done},
+              {"live", step.live},
+              {"why", job->second.inherited && !settled_
+                          ? "runs of a former owner"
+                          : step.why},
+              {"good", step.advice.good.size()},
+              {"bad", step.advice.bad.size()},
+              {"breaking", step.breaking},
+              {"asking", step.advice.asking},
+              {"waited_ms", AgeMs(step.waits_since, now)}});
+  }
+}
+
 /// Asks for the advice of steps that become ready soon, so that it is there
 /// when they do.
 void Cell::AskAhead(Time now) {
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -53,17 +53,17 @@
       auto* it = out.add_steps();
       it->set_occurrence(occurrence.first);
       it->set_step(n);
-      it->set_gang_failures(step.gang_failures);
-      it->set_last_failed_run(step.last_failed_run);
+      it->mutable_failed_runs()->Add(step.failed_runs.begin(),
+                                     step.failed_runs.end());
       std::vector<bool> done;
       for (uint32_t i = 0; i < step.tasks.size(); ++i) {
         const Task& task = step.tasks[i];
         done.push_back(task.phase == TaskPhase::kDone);
-        if (task.failures > 0) {
+        if (!task.failed_runs.empty()) {
           auto* failed = it->add_failed();
           failed->set_index(i);
-          failed->set_failures(task.failures);
-          failed->set_last_run(task.last_failed_run);
+          failed->mutable_runs()->Add(task.failed_runs.begin(),
+                                      task.failed_runs.end());
         }
         if (!task.saved.empty() && task.phase != TaskPhase::kDone) {
           auto* saved = it->add_saved();
@@ -249,8 +249,7 @@
       continue;
     }
     Step& step = steps[it.step()];
-    step.gang_failures = it.gang_failures();
-    step.last_failed_run = it.last_failed_run();
+    step.failed_runs.assign(it.failed_runs().begin(), it.failed_runs().end());
     for (uint32_t n = 0; n < step.tasks.size(); ++n) {
       if (IsDone(it.done(), n)) {
         step.tasks[n].phase = TaskPhase::kDone;
@@ -259,8 +258,8 @@
     }
     for (const auto& row : it.failed()) {
       if (row.index() < step.tasks.size()) {
-        step.tasks[row.index()].failures = row.failures();
-        step.tasks[row.index()].last_failed_run = row.last_run();
+        step.tasks[row.index()].failed_runs.assign(row.runs().begin(),
+                                                   row.runs().end());
       }
     }
     for (const auto& row : it.saved()) {
@@ -283,9 +282,9 @@
       const auto& steps = occurrence.second.steps;
       done = done && occurrence.second.steps_done == steps.size();
       for (size_t n = 0; n < steps.size(); ++n) {
-        uint32_t failures = steps[n].gang_failures;
+        size_t failures = steps[n].failed_runs.size();
         for (const auto& task : steps[n].tasks) {
-          failures = std::max(failures, task.failures);
+          failures = std::max(failures, task.failed_runs.size());
         }
         failed = failed || (!job.spec.steps[n].perpetual &&
                             failures >= job.policy.max_attempts);
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -30,6 +30,18 @@
 /// A running task that used no processor time for this long stands still.
 constexpr milliseconds kIdleLimit{1'500};
 
+/// Failures of one task that are remembered; only lasting tasks have more.
+constexpr size_t kMaxFailures = 64;
+
+/// Counts the failure of a run once, whoever owned the cell when it came.
+void NoteFailure(std::vector<uint64_t>* failed_runs, uint64_t run) {
+  if (std::find(failed_runs->begin(), failed_runs->end(), run) ==
+          failed_runs->end() &&
+      failed_runs->size() < kMaxFailures) {
+    failed_runs->push_back(run);
+  }
+}
+
 const Resources& Subtract(Resources* from, const Resources& it) {
   from->millicores -= std::min(from->millicores, it.millicores);
   from->memory_mb -= std::min(from->memory_mb, it.memory_mb);
@@ -653,19 +665,15 @@
   Task& task = step.tasks[run.task.index];
   const StepSpec& spec = job->spec.steps[run.task.step];
   task.failed_on = server->entry.id;
-  if (run.number <= task.last_failed_run) {
-    return;  // A former owner counted it.
-  }
-  task.last_failed_run = run.number;
-  task.failures += 1;
-  if (spec.gang && run.number > step.last_failed_run) {
-    step.last_failed_run = run.number;
-    step.gang_failures += 1;
+  NoteFailure(&task.failed_runs, run.number);
+  if (spec.gang) {
+    NoteFailure(&step.failed_runs, run.number);
   }
   job->changed = true;
   changed_.insert(job->id);
   Strike(server, now);
-  const uint32_t failures = std::max(task.failures, step.gang_failures);
+  const size_t failures =
+      std::max(task.failed_runs.size(), step.failed_runs.size());
   if (!spec.perpetual && failures >= job->policy.max_attempts) {
     LogEvent(Part::kPlacer, "job_failed",
              {{"job", job->id.value},
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -13,6 +13,8 @@
 constexpr milliseconds kMetricsEvery{1000};
 /// The balancer needs two misses, a second apart, to send no one any more.
 constexpr milliseconds kBalancerNotice{2500};
+/// Calls are refused at once this long before the platform kills.
+constexpr milliseconds kRefuseBeforeKill{1600};
 constexpr milliseconds kIdleConnection{60'000};
 constexpr size_t kMaxBodyBytes = 1 << 20;
 
@@ -189,7 +191,7 @@
 
 void Entry::Drain() {
   drain_began_ = BootClock::now();
-  front_.Drain();
+  front_.Drain(drain_began_ + options_.grace - kRefuseBeforeKill);
   draining_ = true;
 }
 
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -15,6 +15,8 @@
 constexpr size_t kRingSize = 8192;
 /// Lines of one event in one second; more are left out and counted.
 constexpr uint32_t kLinesPerSecond = 400;
+/// Bytes of one write: what a pipe takes whole or not at all.
+constexpr size_t kWriteBytes = 4096;
 /// The writer wakes this often, and writes all lines at once.
 constexpr milliseconds kWriteEvery{100};
 
@@ -70,16 +72,19 @@
 
   void Flush() {
     std::string lines;
+    if (const uint64_t n = left_out_.exchange(0); n > 0) {
+      lines = nlohmann::json{{"event", "lines_left_out"}, {"count", n}}.dump();
+    }
     while (auto it = ring_.TryPop()) {
+      if (!lines.empty() && lines.size() + it->size() + 2 > kWriteBytes) {
+        WriteLog(Part::kKernel, LogLevel::kInfo, lines);
+        lines.clear();
+      }
       if (!lines.empty()) {
         lines += '\n';
       }
       lines += *it;
     }
-    if (const uint64_t n = left_out_.exchange(0); n > 0) {
-      lines += (lines.empty() ? "" : "\n") +
-               nlohmann::json{{"event", "lines_left_out"}, {"count", n}}.dump();
-    }
     if (!lines.empty()) {
       WriteLog(Part::kKernel, LogLevel::kInfo, lines);
     }
--- a/src/front.cc
+++ b/src/front.cc
@@ -74,6 +74,10 @@
   const uint32_t age = parts_.config->ViewAgeMs(BootClock::now());
   const auto current_for =
       static_cast<uint32_t>((options_.revoke - kRevokeMargin).count());
+  if (IsClosing(BootClock::now())) {
+    Refuse(call, kUnavailable, "shutting down");
+    return;
+  }
   if (!config || age > current_for) {
     Refuse(call, kUnavailable, "the configuration may be out of date");
     return;
@@ -310,7 +314,7 @@
       it = open_calls_.erase(it);
       continue;
     }
-    if (now >= call->give_up) {
+    if (now >= call->give_up || IsClosing(now)) {
       due.push_back(call);
     } else if (call->retry_at != kNever && now >= call->retry_at) {
       due.push_back(call);
@@ -318,8 +322,8 @@
     ++it;
   }
   for (const auto& call : due) {
-    if (now >= call->give_up) {
-      GiveUp(call, "no outcome in time");
+    if (now >= call->give_up || IsClosing(now)) {
+      GiveUp(call, IsClosing(now) ? "shutting down" : "no outcome in time");
     } else {
       Send(call);
     }
--- a/src/front_base.h
+++ b/src/front_base.h
@@ -44,8 +44,12 @@
 
   void Tick(Time now);
 
-  /// No new connections are wanted from now on. Thread-safe.
-  void Drain() { draining_ = true; }
+  /// No new connections are wanted from now on; calls are still served until
+  /// `refuse_at`, and then refused at once. Thread-safe.
+  void Drain(Time refuse_at) {
+    refuse_at_us_ = ToMicros(refuse_at);
+    draining_ = true;
+  }
   /// @return True while callers wait for answers. Thread-safe.
   size_t OpenCalls() const { return open_; }
   /// @return True if callers can be served. Thread-safe.
@@ -74,6 +78,7 @@
   void Answer(const CallPtr& call, net::HttpResponse response,
               const char* why);
   void Refuse(const CallPtr& call, int status, const char* why);
+  bool IsClosing(Time now) const { return ToMicros(now) >= refuse_at_us_; }
 
   const FrontOptions options_;
   const FrontParts parts_;
@@ -83,6 +88,7 @@
   std::atomic<size_t> open_{0};
   std::atomic<bool> ready_{false};
   std::atomic<bool> draining_{false};
+  std::atomic<uint64_t> refuse_at_us_{~uint64_t{0}};
 };
 
 }  // namespace bw
