Feature: [Test] The cell against simulated backend servers; room kept for a gang stays kept

GangIsNotStarvedBySmallTasks showed that room kept for two seconds was given up when the gang turned late.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -448,10 +448,11 @@
 
 void Cell::Run(Time now) {
   if (port_->MayAct() && now >= next_pass_) {
+    const Time began = BootClock::now();
     Place(now);
-    // A pass takes at most a third of the core thread's time.
-    const Time end = BootClock::now();
-    next_pass_ = end + std::max<Duration>(kPassPause, 2 * (end - now));
+    // Passes take at most a third of the core thread's time.
+    const Duration took = BootClock::now() - began;
+    next_pass_ = now + took + std::max<Duration>(kPassPause, 2 * took);
   }
   KeepChanges();
 }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -227,6 +227,7 @@
     uint32_t live = 0;
     bool ready = false;     ///< All steps before it are done; its time came.
     bool breaking = false;  ///< A gang that is being taken apart.
+    Time room_kept = kNever;  ///< Last pass that kept room for it.
     std::vector<uint64_t> failed_runs;  ///< Of a gang.
     Time started = kNever;
     Time waits_since = kNever;
@@ -332,7 +333,7 @@
                       const Resources& need) const;
   void StartTask(Pass* pass, Job* job, const TaskRef& ref, Step* step,
                  Server* server, uint64_t run);
-  void Reserve(Pass* pass, const StepNeed& need);
+  bool Reserve(Pass* pass, const StepNeed& need);
   Resources RoomOf(const StepSpec& spec) const;
 
   // cell_record.cc: what is kept.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -26,6 +26,8 @@
 constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
 /// Gangs that room is kept for at once.
 constexpr uint32_t kMaxReservations = 3;
+/// Room counts as kept if a pass kept it this recently.
+constexpr milliseconds kReservationLife{200};
 /// Steps without room that one pass looks at; the rest comes after them.
 constexpr uint32_t kMaxUnplaced = 150;
 
@@ -74,6 +76,7 @@
   out.step = ref.step;
   out.priority = job.policy.priority;
   out.over_share = job.over_share;
+  out.room_kept = now - step.room_kept < kReservationLife;
   out.remaining_ms = SignedMs(job.occurrences.at(ref.occurrence).remaining_ms);
   const bool timed = job.spec.start_at_ms > 0 || job.spec.repeat_count > 0;
   const auto age =
@@ -303,22 +306,25 @@
     AskForAdvice(pass, job, ref, step, need);
     LimitToTickets(pass, *step, kNever);
   }
-  if (spec.gang && pass->reservations < kMaxReservations) {
-    Reserve(pass, need);
+  if (spec.gang && pass->reservations < kMaxReservations &&
+      Reserve(pass, need)) {
+    step->room_kept = pass->now;
   }
   return false;
 }
 
 /// Keeps room for a gang: what comes later in this pass may not take it.
-void Cell::Reserve(Pass* pass, const StepNeed& need) {
+/// @return False if the gang does not fit even on empty servers.
+bool Cell::Reserve(Pass* pass, const StepNeed& need) {
   const auto kept = ReserveForGang(pass->rooms, need);
   if (kept.empty()) {
-    return;
+    return false;
   }
   ++pass->reservations;
   for (size_t n = 0; n < kept.size(); ++n) {
     pass->free[n] = Less(pass->free[n], Times(need.task, kept[n]));
   }
+  return true;
 }
 
 void Cell::StartTask(Pass* pass,
--- a/src/order.cc
+++ b/src/order.cc
@@ -17,8 +17,11 @@
   if (it.remaining_ms <= it.objective_in_ms) {
     return Outlook::kInTime;
   }
-  return it.remaining_ms <= it.worthless_in_ms ? Outlook::kLate
-                                               : Outlook::kWorthless;
+  if (it.remaining_ms > it.worthless_in_ms) {
+    return Outlook::kWorthless;
+  }
+  // Room that was kept for a gang is not given up just before it is complete.
+  return it.room_kept ? Outlook::kInTime : Outlook::kLate;
 }
 
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -13,6 +13,7 @@
   uint64_t arrival = 0;         ///< Order of arrival of its job.
   uint32_t step = 0;            ///< Number of the step in its job.
   uint32_t priority = 0;        ///< Of its queue; 0 comes first.
+  bool room_kept = false;       ///< Room is kept for it since an earlier pass.
   bool over_share = false;      ///< Beyond the rate that its account is owed.
   int64_t objective_in_ms = 0;  ///< Until its job's latency objective.
   int64_t worthless_in_ms = 0;  ///< Until its job's end is worth nothing.
--- /dev/null
+++ b/test/support/cell_bench.h
@@ -0,0 +1,281 @@
+// A cell with stand-ins: simulated backend servers that hold leases, keep
+// fencing tokens and list runs and ends as the platform's do.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fake_cell_port.h"
+
+namespace bw::test {
+
+/// One backend server that runs what it is told until a test ends it.
+struct FakeBackend {
+  BackendEntry entry;
+  uint64_t token = 0;
+  uint64_t clock_ms = 1000;
+  uint64_t lease_end_ms = 0;
+  uint64_t last_end = 0;
+  bool reachable = true;
+  std::map<RunRef, std::string> running;  ///< With the checkpoint.
+  std::map<RunRef, uint64_t> stopped;     ///< Runs that may not start.
+  std::vector<ListedEnd> ended;
+
+  OrderVerdict Start(const platform::StartOrder& order) {
+    if (order.fencing_token < token) {
+      return OrderVerdict::kFenced;
+    }
+    token = order.fencing_token;
+    if (order.lease_end_ms <= clock_ms) {
+      return OrderVerdict::kExpired;
+    }
+    for (const auto& it : stopped) {
+      if (it.first.task == order.run.task &&
+          it.first.number >= order.run.number) {
+        return OrderVerdict::kSuperseded;
+      }
+    }
+    lease_end_ms = std::max(lease_end_ms, order.lease_end_ms);
+    running[order.run] = order.saved;
+    return OrderVerdict::kDone;
+  }
+
+  void End(const RunRef& run, RunEnd how) {
+    running.erase(run);
+    stopped[run] = 1;
+    ended.push_back({++last_end, run, how, {}});
+  }
+
+  OrderVerdict Stop(const RunRef& run) {
+    if (running.contains(run)) {
+      End(run, RunEnd::kStopped);
+    }
+    stopped[run] = 1;
+    return OrderVerdict::kDone;
+  }
+
+  BackendReport Hold(const platform::HoldOrder& order) {
+    BackendReport out;
+    if (order.fencing_token < token) {
+      out.verdict = OrderVerdict::kFenced;
+      return out;
+    }
+    token = order.fencing_token;
+    if (order.lease_end_ms) {
+      lease_end_ms = std::max(lease_end_ms, *order.lease_end_ms);
+    }
+    std::erase_if(ended, [&](const ListedEnd& it) {
+      return it.number <= order.acknowledged;
+    });
+    out.verdict = OrderVerdict::kDone;
+    out.clock_ms = clock_ms;
+    out.incarnation = entry.incarnation;
+    for (const auto& it : running) {
+      out.running.push_back({it.first, it.second, 100, 1000});
+    }
+    out.ended = ended;
+    return out;
+  }
+
+  /// Crashes and starts again.
+  void Reborn() {
+    entry.incarnation += 1;
+    token = 0;
+    clock_ms = 0;
+    lease_end_ms = 0;
+    last_end = 0;
+    running.clear();
+    stopped.clear();
+    ended.clear();
+  }
+};
+
+/// A cell with backend servers of 8 cores in racks of two, and the account
+/// "t0" with the queue "q" (two attempts).
+class CellBench {
+ public:
+  explicit CellBench(int backends, uint64_t token = 1) {
+    config = std::make_shared<CellConfig>();
+    config->version = 1;
+    QueuePolicy queue;
+    queue.name = QueueId("q");
+    queue.service = "s";
+    queue.max_attempts = 2;
+    queue.stretch = 2;
+    queue.target_latency_ms = 1000;
+    queue.priority = 1;
+    config->queues.push_back(queue);
+    AccountPolicy account;
+    account.name = TeamId("t0");
+    account.weight = 1000;
+    config->accounts.push_back(account);
+    for (int n = 0; n < backends; ++n) {
+      AddBackend(n);
+    }
+    Open(token);
+  }
+
+  void AddBackend(int n) {
+    FakeBackend added;
+    added.entry.id = BackendId("b" + std::to_string(n));
+    added.entry.service = "s";
+    added.entry.address = "10.0.0.1:80";
+    added.entry.incarnation = 100;
+    added.entry.capacity = {8000, 8000, 0};
+    added.entry.rack = "r" + std::to_string(n / 2);
+    added.entry.labels = {"a", added.entry.rack};
+    this->backends[added.entry.id] = added;
+  }
+
+  /// Begins a new owner's life from what is stored.
+  void Open(uint64_t token) {
+    port.starts.clear();
+    port.stops.clear();
+    port.holds.clear();
+    port.questions.clear();
+    port.batches.clear();
+    CellOptions options;
+    options.fencing_token = token;
+    options.wall_ms = wall_ms;
+    cell = std::make_unique<Cell>(options, &port);
+    cell->SetConfig(config);
+    for (const auto& it : port.stored) {
+      cell->Load(it.first, it.second, now);
+    }
+    cell->OnLoaded(now);
+    for (auto& it : backends) {
+      cell->SetBackend(it.second.entry, now);
+    }
+    Settle();
+  }
+
+  /// Hands a job in. @return What its caller was told, if anything yet.
+  std::optional<CellOutcome> Submit(const std::string& name,
+                                    const std::string& body,
+                                    const std::string& queue = "q") {
+    auto outcome = std::make_shared<std::optional<CellOutcome>>();
+    cell->Submit(JobId(name), TeamId("t0"), QueueId(queue), body, now,
+                 [outcome](const CellOutcome& it) { *outcome = it; });
+    constexpr int kAWhileMs = 60;
+    Pass(kAWhileMs);
+    return *outcome;
+  }
+
+  static std::string Tasks(int count, int cpu, const std::string& more = {}) {
+    return R"({"spec":"x","steps":[{"count":)" + std::to_string(count) +
+           R"(,"cpu":)" + std::to_string(cpu) +
+           R"(,"memMb":100,"estimateMs":1000)" + more + "}]}";
+  }
+
+  /// Lets `ms` pass, with all orders answered by the backend servers.
+  void Pass(int ms) {
+    constexpr int kStep = 20;
+    for (int passed = 0; passed < ms; passed += kStep) {
+      now += milliseconds(kStep);
+      wall_ms += kStep;
+      for (auto& it : backends) {
+        FakeBackend& backend = it.second;
+        backend.clock_ms += kStep;
+        if (backend.clock_ms > backend.lease_end_ms) {
+          while (!backend.running.empty()) {
+            backend.End(backend.running.begin()->first, RunEnd::kLapsed);
+          }
+        }
+      }
+      Settle();
+    }
+  }
+
+  /// Carries out whatever the cell ordered.
+  void Settle() {
+    cell->Tick(now, wall_ms);
+    cell->Run(now);
+    for (int round = 0; round < 4; ++round) {
+      Deliver();
+      if (stores) {
+        port.StoreAll();
+      }
+      cell->Run(now);
+    }
+  }
+
+  void Deliver() {
+    auto starts = std::move(port.starts);
+    port.starts.clear();
+    for (auto& it : starts) {
+      log.push_back(it);
+      FakeBackend& backend = backends.at(it.backend);
+      OrderVerdict verdict = OrderVerdict::kUnknown;
+      if (backend.reachable) {
+        verdict = backend.Start(it.order);
+      } else {
+        late.push_back(it);
+      }
+      cell->OnStartAnswer(it.backend, it.order.run, verdict, now, now);
+    }
+    auto stops = std::move(port.stops);
+    port.stops.clear();
+    for (auto& it : stops) {
+      stop_log.push_back(it);
+      FakeBackend& backend = backends.at(it.first);
+      const auto verdict = backend.reachable ? backend.Stop(it.second)
+                                             : OrderVerdict::kUnknown;
+      cell->OnStopAnswer(it.first, it.second, verdict, now);
+    }
+    auto holds = std::move(port.holds);
+    port.holds.clear();
+    for (auto& it : holds) {
+      FakeBackend& backend = backends.at(it.backend);
+      BackendReport report;
+      if (backend.reachable) {
+        report = backend.Hold(it.order);
+      }
+      cell->OnReport(it.backend, report, now, now);
+    }
+  }
+
+  /// @return Runs of a task on all backend servers right now.
+  int Running(const TaskRef& task) const {
+    int out = 0;
+    for (const auto& it : backends) {
+      for (const auto& run : it.second.running) {
+        out += run.first.task == task ? 1 : 0;
+      }
+    }
+    return out;
+  }
+
+  /// @return The backend server that runs a task, and the run.
+  std::optional<std::pair<BackendId, RunRef>> Find(const TaskRef& task) const {
+    for (const auto& it : backends) {
+      for (const auto& run : it.second.running) {
+        if (run.first.task == task) {
+          return std::pair(it.first, run.first);
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
+  std::string State(const std::string& name) const {
+    const auto out = cell->State(JobId(name), TeamId("t0"));
+    return out.verdict == CellVerdict::kOk ? out.state : "";
+  }
+
+  FakeCellPort port;
+  std::shared_ptr<CellConfig> config;
+  std::map<BackendId, FakeBackend> backends;
+  std::unique_ptr<Cell> cell;
+  Time now{std::chrono::hours(1)};
+  uint64_t wall_ms = 1'700'000'000'000;
+  bool stores = true;  ///< False: the store takes nothing.
+  std::vector<FakeCellPort::StartSeen> log;
+  std::vector<FakeCellPort::StartSeen> late;  ///< Orders without an answer.
+  std::vector<std::pair<BackendId, RunRef>> stop_log;
+};
+
+}  // namespace bw::test
