Fix: [Cell] A silent backend server's lease is no longer renewed

A gang of which an owner found a part, or with one unanswered start, waited for the rest (GANG). Runs on leaving servers died with them. Change: no renewal while it does not answer; partial gangs break; work that would outlast a leaving server moves.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -426,6 +426,7 @@
   }
   if (!settled_ && AllSettled(now)) {
     settled_ = true;
+    BreakPartialGangs(now);
     LogEvent(Part::kPlacer, "cell_settled",
              {{"after_ms", AgeMs(loaded_at_, now)}});
   }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -196,6 +196,7 @@
     uint64_t lease_end_ms = 0;
     uint64_t last_end = 0;      ///< Newest end taken in.
     uint64_t acknowledged = 0;  ///< Ends up to here are stored.
+    Time leaves_at = kNever;  ///< While draining; not before.
     Time suspect_until = kNever;
     uint32_t strikes = 0;  ///< Failures in a row.
     uint32_t rack = 0;     ///< Number of its rack.
@@ -307,6 +308,7 @@
   void TaskFailed(Server* server, Job* job, const RunRef& run, Time now);
   void TaskWaits(Job* job, const TaskRef& task, const std::string& saved,
                  Time now);
+  void BreakPartialGangs(Time now);
   void BreakGang(Job* job, const TaskRef& member, Time now);
   void Strike(Server* server, Time now);
   bool LeasesLapsed(const Server& server, Time now) const;
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -30,6 +30,9 @@
 /// A running task that used no processor time for this long stands still.
 constexpr milliseconds kIdleLimit{1'500};
 
+/// Work without a checkpoint is given up on a leaving backend server only if it
+/// would end this long after the server may leave, as that often takes longer.
+constexpr uint64_t kEvacuateSlackMs = 1000;
 /// Failures of one task that are remembered; only lasting tasks have more.
 constexpr size_t kMaxFailures = 64;
 
@@ -80,6 +83,10 @@
   server.entry = entry;
   server.entry.incarnation = incarnation;
   server.rack = RackNumber(entry.rack);
+  if (entry.draining) {
+    server.leaves_at =
+        now + milliseconds(static_cast<int64_t>(entry.remaining_ms.value_or(0)));
+  }
   server.listed = true;
   if (!same && !server.keeping) {
     server.kept = false;
@@ -225,7 +232,9 @@
   order.fencing_token = options_.fencing_token;
   order.acknowledged = server->acknowledged;
   if (server->clock_at != kNever && server->known) {
-    if (port_->MayAct()) {
+    // A backend server that does not answer may still take the order: renewed
+    // again and again, its lease would never be known to have lapsed.
+    if (port_->MayAct() && server->suspect_until <= now) {
       const milliseconds lease =
           port_->IsSettled() ? std::min(options_.lease, options_.hold_max)
                              : options_.hold_max;
@@ -311,6 +320,12 @@
     live->phase = RunPhase::kDoubt;
     server->suspect_until = now + kSuspectFor;
     SendStop(server, run, live, now);
+    Job* job = nullptr;
+    Step* step = nullptr;
+    if (FindTask(run.task, &job, &step) != nullptr &&
+        job->spec.steps[run.task.step].gang) {
+      BreakGang(job, run.task, now);  // The others would wait in vain.
+    }
     return;
   }
   Job* job = nullptr;
@@ -384,7 +399,7 @@
     LogEvent(Part::kPlacer, "backend_back", {{"backend", backend.value}});
   }
   server->suspect_until = kNever;
-  if (server->clock_at == kNever) {
+  if (server->clock_at == kNever && server->clear_at != kNever) {
     // A former owner may have renewed its leases until just now.
     server->lease_end_ms =
         report.clock_ms + static_cast<uint64_t>(options_.hold_max.count());
@@ -723,6 +738,25 @@
   }
 }
 
+/// Gangs of which only a part was found running: the rest never started.
+void Cell::BreakPartialGangs(Time now) {
+  for (auto& it : jobs_) {
+    Job& job = it.second;
+    if (!job.inherited || job.state != JobState::kActive) {
+      continue;
+    }
+    for (auto& occurrence : job.occurrences) {
+      for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
+        const Step& step = occurrence.second.steps[n];
+        if (job.spec.steps[n].gang && step.live > 0 &&
+            step.live < step.tasks.size()) {
+          BreakGang(&job, {it.first, occurrence.first, n, 0}, now);
+        }
+      }
+    }
+  }
+}
+
 /// Stops what is left of a gang; it starts anew once all of it is gone.
 void Cell::BreakGang(Job* job, const TaskRef& member, Time now) {
   Step& step = job->occurrences.at(member.occurrence).steps[member.step];
@@ -758,7 +792,7 @@
   if (!port_->MayAct()) {
     return;
   }
-  const uint64_t left = server->entry.remaining_ms.value_or(0);
+  const uint64_t left = AgeMs(now, server->leaves_at);
   for (auto& it : server->runs) {
     LiveRun& live = it.second;
     Job* job = nullptr;
@@ -771,7 +805,8 @@
     const uint64_t ran = AgeMs(live.answered, now);
     const uint64_t to_go =
         live.estimate_ms > ran ? live.estimate_ms - ran : 0;
-    if (spec.perpetual || (spec.checkpoint && to_go > left)) {
+    const uint64_t slack = spec.checkpoint ? 0 : kEvacuateSlackMs;
+    if (spec.perpetual || to_go > left + slack) {
       LogEvent(Part::kPlacer, "run_evacuated",
                {{"task", platform::TaskName(it.first.task)},
                 {"run", it.first.number},
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -101,6 +101,22 @@
   CHECK(it.Find(First(kJob))->first != run->first);
 }
 
+// Load: a backend server leaves for good with work on it and is never heard
+// again. Looks at it go on meanwhile.
+TEST(Cell, LostBackendServersTasksStartElsewhereAfterTheirLease) {
+  CellBench it(2);
+  it.Submit(kJob, CellBench::Tasks(1, 1000));
+  const auto run = it.Find(First(kJob));
+  FakeBackend& lost = it.backends.at(run->first);
+  lost.reachable = false;
+  it.cell->DropBackend(run->first);
+  it.Pass(5000);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+  it.Pass(3000);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+  CHECK(it.Find(First(kJob))->first != run->first);
+}
+
 TEST(Cell, NewOwnersRunsHaveHigherNumbers) {
   CellBench it(1);
   it.Submit(kJob, CellBench::Tasks(1, 1000));
@@ -292,6 +308,31 @@
   }
 }
 
+// Load: the owner dies between the starts of a gang.
+TEST(Cell, HalfAGangOfAFormerOwnerIsStoppedAndStartsAnew) {
+  CellBench it(2);
+  it.Submit(kJob, CellBench::Tasks(4, 4000, R"(,"gang":true)"));
+  const auto lost = it.Find(First(kJob, 3));
+  it.backends.at(lost->first).running.erase(lost->second);
+  it.Open(2);
+  it.Pass(600);
+  for (uint32_t n = 0; n < 4; ++n) {
+    CHECK_EQUAL(1, it.Running(First(kJob, n)));
+    CHECK_EQUAL(it.Find(First(kJob))->second.number,
+                it.Find(First(kJob, n))->second.number);
+  }
+}
+
+// Load: orders to one backend server get no answer while a gang starts.
+TEST(Cell, GangWithAnUnansweredStartIsTakenApartAtOnce) {
+  CellBench it(2);
+  it.backends.begin()->second.reachable = false;
+  it.Submit(kJob, CellBench::Tasks(4, 4000, R"(,"gang":true)"));
+  for (const auto& backend : it.backends) {
+    CHECK_EQUAL(0U, backend.second.running.size());
+  }
+}
+
 // Load: the advice service is overloaded and says so at once.
 TEST(Cell, AdviceGivenAtOnceIsNotWaitedFor) {
   CellBench it(2);
@@ -328,6 +369,23 @@
   CHECK_EQUAL(0U, it.backends.begin()->second.running.size());
 }
 
+TEST(Cell, WorkThatWouldOutlastALeavingBackendServerMoves) {
+  CellBench it(2);
+  it.Submit(kJob,
+            R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":6000}]})");
+  it.Submit(kOther,
+            R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":900}]})");
+  const auto run = it.Find(First(kJob));
+  auto leaving = it.backends.at(run->first).entry;
+  leaving.draining = true;
+  leaving.remaining_ms = 2000;
+  it.cell->SetBackend(leaving, it.now);
+  it.Pass(500);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+  CHECK(it.Find(First(kJob))->first != run->first);
+  CHECK_EQUAL(1U, it.Find(First(kOther))->second.number);
+}
+
 TEST(Cell, EndedJobIsKnownToTheNextOwner) {
   CellBench it(1);
   it.Submit(kJob, CellBench::Tasks(1, 1000));
