Feature: [Cell] Starts have their record first; terms of 1.2 s

Cause: a new owner held back every inherited task for 10 s if one backend server was silent; a dead owner was replaced after 2.5 s; callers whose instance was cut off heard 504 when they had 0.15 s left. Change: progress records name where each run was sent, before it is; terms of 1.2 s, renewed each 0.3 s; leases of 65 % of the longest, renewed for the rest after a term; unknown outcomes are told after 1.2 s.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -47,7 +47,9 @@
   out.membership.join_every =
       milliseconds(settings.Int("timing.join_every_ms"));
   out.cell.hold_max = ms("bounds.hold_max_ms");
-  out.cell.lease = milliseconds(settings.Int("timing.lease_ms"));
+  constexpr int kPercent = 100;
+  out.cell.lease =
+      out.cell.hold_max * settings.Int("timing.lease_percent") / kPercent;
   out.cell.status_kept = ms("bounds.status_s", kMsPerSecond);
   out.cell.gang_wait = ms("bounds.gang_ms");
   out.cell.far_factor = settings.Real("bounds.far_x");
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -14,9 +14,6 @@
 
 /// Retry-After while a take-over or an outage lasts.
 constexpr uint32_t kRetrySoonMs = 1000;
-/// Run numbers of a new owner start this far apart, so that they are higher
-/// than any that a former owner gave without a record.
-constexpr uint64_t kRunsPerOwner = 1000;
 /// A job that the store does not take in this time is refused, if its record
 /// surely did not leave.
 constexpr milliseconds kStoreWait{800};
@@ -238,11 +235,6 @@
   added.steps.resize(job->spec.steps.size());
   for (size_t n = 0; n < added.steps.size(); ++n) {
     added.steps[n].tasks.resize(job->spec.steps[n].count);
-    if (job->inherited) {
-      for (auto& it : added.steps[n].tasks) {
-        it.run = options_.fencing_token * kRunsPerOwner;
-      }
-    }
   }
   job->next_occurrence = std::max(job->next_occurrence, number + 1);
   UpdateReady(job, number, now);
@@ -407,6 +399,7 @@
 }
 
 void Cell::Tick(Time now, uint64_t wall_ms) {
+  now_ = now;
   wall_ms_ = wall_ms;
   RefuseUnstored(now);
   const std::set<JobId> timed = timed_;
@@ -424,9 +417,8 @@
     CheckServer(&servers_.at(id), now);
     DropServerIfIdle(id);
   }
-  if (!settled_ && AllSettled(now)) {
+  if (!settled_ && hidden_ == 0) {
     settled_ = true;
-    BreakPartialGangs(now);
     LogEvent(Part::kPlacer, "cell_settled",
              {{"after_ms", AgeMs(loaded_at_, now)}});
   }
@@ -448,6 +440,7 @@
 }
 
 void Cell::Run(Time now) {
+  now_ = now;
   if (port_->MayAct() && now >= next_pass_) {
     const Time began = BootClock::now();
     Place(now);
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -31,7 +31,7 @@
 struct CellOptions {
   uint64_t fencing_token = 0;  ///< Higher than that of any former owner.
   milliseconds hold_max{10'000};  ///< Longest lease backend servers grant.
-  milliseconds lease{6'500};      ///< Lease asked for while the store is well.
+  milliseconds lease{6'500};      ///< Lease asked for; shorter than hold_max.
   milliseconds status_kept{120'000};  ///< Ended jobs stay known this long.
   milliseconds gang_wait{3'000};  ///< Members of a gang wait for the others.
   double far_factor = 3;          ///< Slowness far from the data.
@@ -67,6 +67,9 @@
   virtual void OnFenced() = 0;
   /// @return True while the owner may start tasks.
   virtual bool MayAct() const = 0;
+  /// @return True while leases may be renewed: while the owner may act, and
+  /// for a given time after, which a new owner waits out.
+  virtual bool MayRenew(milliseconds after) const = 0;
   /// @return True while ownership is renewed in time.
   virtual bool IsSettled() const = 0;
 };
@@ -170,7 +173,7 @@
     Resources need;
     TeamId team;
     bool foreign = false;  ///< Its job is not known; its needs neither.
-    Time sent = kNever;
+    Time sent = kNever;      ///< When the start was sent.
     Time answered = kNever;  ///< When the start was answered.
     Time stop_sent = kNever;
     Time stop_answered = kNever;
@@ -208,7 +211,8 @@
     TaskPhase phase = TaskPhase::kWaiting;
     std::vector<uint64_t> failed_runs;  ///< Whose failures are counted.
     uint64_t run = 0;       ///< Newest run number used.
-    BackendId where;        ///< While live.
+    BackendId where;        ///< While live, or where a former owner put it.
+    bool hidden = false;    ///< A former owner's run may be there, unseen.
     BackendId failed_on;    ///< Where it failed last.
     std::string saved;
   };
@@ -308,14 +312,15 @@
   void TaskFailed(Server* server, Job* job, const RunRef& run, Time now);
   void TaskWaits(Job* job, const TaskRef& task, const std::string& saved,
                  Time now);
-  void BreakPartialGangs(Time now);
+  void Unhide(const BackendId& id, Time now);
+  void ForgetHidden(const Job& job, const TaskRef& ref, Task* task);
+  void BreakPartialGang(Job* job, const StepRef& ref, Time now);
   void BreakGang(Job* job, const TaskRef& member, Time now);
   void Strike(Server* server, Time now);
   bool LeasesLapsed(const Server& server, Time now) const;
   uint64_t ClockOf(const Server& server, Time now) const;
   void CheckServer(Server* server, Time now);
   void Evacuate(Server* server, Time now);
-  bool AllSettled(Time now) const;
 
   // cell_place.cc: placing.
   struct Pass;
@@ -331,10 +336,11 @@
                     const StepNeed& need);
   void AskAhead(Time now);
   void LogLongWaits(Time now) const;
-  uint32_t QuotaSlots(const Pass& pass, const Job& job,
-                      const Resources& need) const;
+  uint32_t QuotaSlots(const Job& job, const Resources& need) const;
   void StartTask(Pass* pass, Job* job, const TaskRef& ref, Step* step,
                  Server* server, uint64_t run);
+  void SendStart(const RunRef& run, Time now);
+  uint64_t NextRun(const Job& job, const Task& task) const;
   bool Reserve(Pass* pass, const StepNeed& need);
   Resources RoomOf(const StepSpec& spec) const;
 
@@ -357,15 +363,19 @@
   std::map<BackendId, Server> servers_;
   std::set<StepRef> ready_;  ///< Steps with tasks that wait.
   std::set<JobId> changed_;
+  std::vector<RunRef> unsent_;  ///< Starts that wait for their record.
   std::set<JobId> timed_;  ///< Jobs with occurrences still to come.
   std::map<BackendId, uint64_t> to_acknowledge_;
   std::map<TeamId, Resources> usage_;
   std::map<QueueId, double> good_share_;  ///< Of servers named to the advice.
   ShareMeter shares_;
   std::map<std::string, uint32_t> racks_;
+  Time now_ = kNever;  ///< Of the last tick or run.
   uint64_t wall_ms_ = 0;
   Time loaded_at_ = kNever;
   bool settled_ = false;  ///< No former owner's run can be hidden any more.
+  uint32_t hidden_ = 0;   ///< Tasks that may be running unseen.
+  std::map<TeamId, Resources> hidden_usage_;  ///< What those take.
   Time next_ahead_ = kNever;
   Time next_pass_ = kNever;
   uint64_t arrivals_ = 0;
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -56,7 +56,6 @@
   std::vector<ServerRoom> rooms;  ///< Of the step that is being placed.
   std::vector<Resources> free;
   uint32_t reservations = 0;
-  std::map<TeamId, Resources> hidden;  ///< May run unseen for a former owner.
 };
 
 Resources Cell::RoomOf(const StepSpec& spec) const {
@@ -117,13 +116,7 @@
       it = ready_.erase(it);
       continue;
     }
-    if (!job->inherited || settled_) {
-      order.emplace_back(Describe(*job, *it, *step, now), &*it);
-    } else {
-      Resources& hidden = pass.hidden[job->team];
-      const auto waits = step->tasks.size() - step->done - step->live;
-      hidden = hidden + Times(job->spec.steps[it->step].need, waits);
-    }
+    order.emplace_back(Describe(*job, *it, *step, now), &*it);
     ++it;
   }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
@@ -200,9 +193,7 @@
   }
 }
 
-uint32_t Cell::QuotaSlots(const Pass& pass,
-                          const Job& job,
-                          const Resources& need) const {
+uint32_t Cell::QuotaSlots(const Job& job, const Resources& need) const {
   const AccountPolicy* account =
       config_ ? config_->FindAccount(job.team) : nullptr;
   if (account == nullptr) {
@@ -212,7 +203,7 @@
   if (auto it = usage_.find(job.team); it != usage_.end()) {
     used = it->second;
   }
-  if (auto it = pass.hidden.find(job.team); it != pass.hidden.end()) {
+  if (auto it = hidden_usage_.find(job.team); it != hidden_usage_.end()) {
     used = used + it->second;
   }
   const auto slots = [](uint64_t most, uint64_t taken,
@@ -238,17 +229,22 @@
   }
   const StepSpec& spec = job->spec.steps[ref.step];
   std::vector<uint32_t> waiting;
+  uint32_t hidden = 0;
   for (uint32_t n = 0; n < step->tasks.size(); ++n) {
     if (step->tasks[n].phase == TaskPhase::kWaiting) {
-      waiting.push_back(n);
+      hidden += step->tasks[n].hidden ? 1 : 0;
+      if (!step->tasks[n].hidden) {
+        waiting.push_back(n);
+      }
     }
   }
-  if (waiting.empty() || (spec.gang && step->live > 0)) {
-    if (waiting.empty()) {
-      ready_.erase(ref);
-    }
-    step->why = "rest of the gang stops";
-    return waiting.empty();
+  if (waiting.empty() && hidden == 0) {
+    ready_.erase(ref);
+    return true;
+  }
+  if (waiting.empty() || (spec.gang && step->live + hidden > 0)) {
+    step->why = hidden > 0 ? "runs of a former owner" : "rest of the gang";
+    return false;
   }
   StepNeed need;
   need.task = RoomOf(spec);
@@ -261,7 +257,7 @@
                           static_cast<double>(spec.estimate_ms) / 2;
   need.same_rack = spec.same_rack && waited < 2 * patience;
   need.near_only = !spec.rack.empty() && waited < patience;
-  const uint32_t allowed = QuotaSlots(*pass, *job, spec.need);
+  const uint32_t allowed = QuotaSlots(*job, spec.need);
   if (allowed == 0 || (spec.gang && allowed < need.count)) {
     step->why = "account at its maximum";
     return false;
@@ -275,7 +271,7 @@
   const auto fit = FitStep(pass->rooms, need);
   uint64_t gang_run = 0;
   for (const auto& it : step->tasks) {
-    gang_run = std::max(gang_run, it.run + 1);
+    gang_run = std::max(gang_run, NextRun(*job, it));
   }
   uint32_t placed = 0;
   for (size_t n = 0; n < fit.size(); ++n) {
@@ -285,12 +281,14 @@
     Task& task = step->tasks[waiting[n]];
     const TaskRef task_ref{ref.job, ref.occurrence, ref.step, waiting[n]};
     StartTask(pass, job, task_ref, step, pass->servers[fit[n]],
-              spec.gang ? gang_run : task.run + 1);
+              spec.gang ? gang_run : NextRun(*job, task));
     pass->free[fit[n]] = Less(pass->free[fit[n]], need.task);
     ++placed;
   }
   if (placed == waiting.size()) {
-    ready_.erase(ref);
+    if (hidden == 0) {
+      ready_.erase(ref);
+    }
     return true;
   }
   need.count -= std::min(need.count, placed);
@@ -344,30 +342,77 @@
   LiveRun live;
   live.need = spec.need;
   live.team = job->team;
-  live.sent = pass->now;
   live.estimate_ms = spec.estimate_ms;
   server->runs[{ref, run}] = live;
   server->used = server->used + RoomOf(spec);
   usage_[job->team] = usage_[job->team] + spec.need;
+  unsent_.push_back({ref, run});
+  job->changed = true;
+  changed_.insert(job->id);
+}
+
+/// Run numbers of a new owner start so far apart that they are higher than any
+/// that a former owner gave, of which not all stay in its records.
+uint64_t Cell::NextRun(const Job& job, const Task& task) const {
+  constexpr uint64_t kRunsPerOwner = 1000;
+  const uint64_t base =
+      job.inherited ? options_.fencing_token * kRunsPerOwner : 0;
+  return std::max(task.run, base) + 1;
+}
+
+/// Sends a start whose record is stored, unless it is not wanted any more.
+void Cell::SendStart(const RunRef& run, Time now) {
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = FindTask(run.task, &job, &step);
+  Server* server = nullptr;
+  LiveRun* live = nullptr;
+  for (auto& it : servers_) {
+    auto found = it.second.runs.find(run);
+    if (found != it.second.runs.end()) {
+      server = &it.second;
+      live = &found->second;
+    }
+  }
+  if (live == nullptr) {
+    return;
+  }
+  const char* why_not = nullptr;
+  if (task == nullptr || job->state != JobState::kActive ||
+      live->phase != RunPhase::kStarting) {
+    why_not = "not wanted any more";
+  } else if (!server->known || server->entry.draining ||
+             server->suspect_until > now) {
+    why_not = "the backend server was lost";
+  }
   platform::StartOrder order;
-  order.run = {ref, run};
+  if (why_not == nullptr && job->policy.advice) {
+    auto ticket = step->advice.good.find(server->entry.id);
+    if (ticket != step->advice.good.end() &&
+        ticket->second.until > now + kTicketMargin / 2) {
+      order.ticket = ticket->second.text;
+    } else {
+      why_not = "the ticket ran out";
+    }
+  }
+  if (why_not != nullptr) {
+    OnGone(server, run, why_not, now);
+    return;
+  }
+  live->sent = now;
+  order.run = run;
   order.payload = job->spec.payload;
   order.fencing_token = options_.fencing_token;
-  order.saved = task.saved;
-  const milliseconds lease = std::min(options_.lease, options_.hold_max);
-  order.lease_end_ms =
-      ClockOf(*server, pass->now) + static_cast<uint64_t>(lease.count());
+  order.saved = task->saved;
+  order.lease_end_ms = ClockOf(*server, now) +
+                       static_cast<uint64_t>(options_.lease.count());
   server->lease_end_ms = std::max(server->lease_end_ms, order.lease_end_ms);
-  if (auto it = step->advice.good.find(server->entry.id);
-      it != step->advice.good.end()) {
-    order.ticket = it->second.text;
-  }
   LogEvent(Part::kPlacer, "run_start",
-           {{"task", platform::TaskName(ref)},
-            {"run", run},
+           {{"task", platform::TaskName(run.task)},
+            {"run", run.number},
             {"backend", server->entry.id.value},
             {"free", Less(server->entry.capacity, server->used).millicores},
-            {"waited_ms", AgeMs(step->waits_since, pass->now)}});
+            {"waited_ms", AgeMs(step->waits_since, now)}});
   port_->Start(server->entry, std::move(order));
 }
 
@@ -513,9 +558,7 @@
               {"tasks", step.tasks.size()},
               {"done", step.done},
               {"live", step.live},
-              {"why", job->second.inherited && !settled_
-                          ? "runs of a former owner"
-                          : step.why},
+              {"why", step.why},
               {"good", step.advice.good.size()},
               {"bad", step.advice.bad.size()},
               {"breaking", step.breaking},
@@ -536,7 +579,7 @@
   for (auto& it : jobs_) {
     Job& job = it.second;
     if (job.spec.steps.size() < 2 || !job.policy.advice ||
-        job.state != JobState::kActive || (job.inherited && !settled_)) {
+        job.state != JobState::kActive) {
       continue;
     }
     for (auto& occurrence : job.occurrences) {
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -65,6 +65,12 @@
           failed->mutable_runs()->Add(task.failed_runs.begin(),
                                       task.failed_runs.end());
         }
+        if (task.phase == TaskPhase::kLive || task.hidden) {
+          auto* placed = it->add_placed();
+          placed->set_index(i);
+          placed->set_backend(task.where.value);
+          placed->set_run(task.run);
+        }
         if (!task.saved.empty() && task.phase != TaskPhase::kDone) {
           auto* saved = it->add_saved();
           saved->set_index(i);
@@ -77,12 +83,14 @@
   return out.SerializeAsString();
 }
 
-/// Keeps the progress of all jobs that changed, then lets the backend servers
-/// forget the ends behind it.
+/// Keeps the progress of all jobs that changed; then sends the starts in it
+/// and lets the backend servers forget the ends behind it.
 void Cell::KeepChanges() {
   if (changed_.empty() && to_acknowledge_.empty()) {
     return;
   }
+  auto starts = std::move(unsent_);
+  unsent_.clear();
   std::vector<std::string> records;
   for (const auto& id : changed_) {
     if (Job* job = FindJob(id); job != nullptr && job->changed) {
@@ -101,7 +109,10 @@
                         {it.first, it.second}});
     }
   }
-  port_->Keep(std::move(records), [this, stored] {
+  port_->Keep(std::move(records), [this, stored, starts] {
+    for (const auto& it : starts) {
+      SendStart(it, now_);
+    }
     for (const auto& it : stored) {
       auto server = servers_.find(it.second.first);
       if (server != servers_.end() &&
@@ -262,6 +273,17 @@
                                                    row.runs().end());
       }
     }
+    for (const auto& row : it.placed()) {
+      if (row.index() < step.tasks.size()) {
+        Task& task = step.tasks[row.index()];
+        task.where = BackendId(row.backend());
+        task.run = row.run();
+        task.hidden = true;
+        ++hidden_;
+        const auto& need = job->spec.steps[it.step()].need;
+        hidden_usage_[job->team] = hidden_usage_[job->team] + need;
+      }
+    }
     for (const auto& row : it.saved()) {
       if (row.index() < step.tasks.size()) {
         step.tasks[row.index()].saved = row.checkpoint();
@@ -325,6 +347,23 @@
   }
   loaded_progress_.clear();
   EndDecidedJobs(now);
+  std::set<BackendId> hiding;
+  for (const auto& it : jobs_) {
+    for (const auto& occurrence : it.second.occurrences) {
+      for (const auto& step : occurrence.second.steps) {
+        for (const auto& task : step.tasks) {
+          if (task.hidden) {
+            hiding.insert(task.where);
+          }
+        }
+      }
+    }
+  }
+  for (const auto& id : hiding) {
+    if (!servers_.contains(id)) {
+      Unhide(id, now);  // Its record was dropped after its last lease.
+    }
+  }
   LogEvent(Part::kPlacer, "cell_loaded",
            {{"jobs", jobs_.size()},
             {"ended", ended_.size()},
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -14,7 +14,7 @@
 /// Between the end of a lease on that clock and the certainty that it ended.
 constexpr uint64_t kLapseSlackMs = 100;
 /// A look at a backend server that runs something waits this long for an end.
-constexpr uint64_t kLookWaitMs = 2000;
+constexpr uint64_t kLookWaitMs = 1000;
 /// Pause after a look that brought ends, so that the next brings several.
 constexpr milliseconds kLookPause{60};
 /// Pause after a look that got no answer.
@@ -182,19 +182,49 @@
   return server.clock_ms + passed > server.lease_end_ms + kLapseSlackMs;
 }
 
-bool Cell::AllSettled(Time now) const {
-  return std::all_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-    return it.second.known || it.second.clear_at == kNever ||
-           now >= it.second.clear_at;
-  });
+/// What a former owner may have left running on a backend server is known now:
+/// what was not found there does not run.
+void Cell::Unhide(const BackendId& id, Time now) {
+  if (hidden_ == 0) {
+    return;
+  }
+  for (auto& it : jobs_) {
+    Job& job = it.second;
+    for (auto& occurrence : job.occurrences) {
+      for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
+        Step& step = occurrence.second.steps[n];
+        bool found = false;
+        for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+          Task& task = step.tasks[i];
+          if (task.hidden && task.where == id) {
+            ForgetHidden(job, {it.first, occurrence.first, n, i}, &task);
+            found = true;
+          }
+        }
+        if (found && job.state == JobState::kActive) {
+          BreakPartialGang(&job, {it.first, occurrence.first, n}, now);
+        }
+      }
+    }
+  }
+}
+
+void Cell::ForgetHidden(const Job& job, const TaskRef& ref, Task* task) {
+  task->hidden = false;
+  --hidden_;
+  Subtract(&hidden_usage_[job.team], job.spec.steps[ref.step].need);
 }
 
 void Cell::CheckServer(Server* server, Time now) {
   if (!server->known && server->clear_at != kNever &&
       now >= server->clear_at && server->clock_at == kNever) {
     server->clear_at = kNever;
+    Unhide(server->entry.id, now);
   }
-  if (!server->runs.empty() && LeasesLapsed(*server, now)) {
+  const bool any_sent =
+      std::any_of(server->runs.begin(), server->runs.end(),
+                  [](const auto& it) { return it.second.sent != kNever; });
+  if (any_sent && LeasesLapsed(*server, now)) {
     std::vector<RunRef> lost;
     for (const auto& it : server->runs) {
       lost.push_back(it.first);
@@ -204,8 +234,15 @@
     }
     server->known = false;
   }
-  if (server->listed && !server->kept && !server->keeping) {
+  // Only what may run something needs a record.
+  const bool silent = !server->known && server->clear_at == kNever &&
+                      server->runs.empty() && server->suspect_until > now;
+  if (server->listed && !server->kept && !server->keeping && !silent) {
     KeepServer(server);
+  } else if (silent && server->kept) {
+    server->kept = false;
+    port_->Keep({platform::MakeKeyedRecord("b:" + server->entry.id.value, "")},
+                [] {});
   }
   const bool wanted = (server->listed && !server->known) ||
                       (!server->known && server->clear_at != kNever) ||
@@ -234,12 +271,10 @@
   if (server->clock_at != kNever && server->known) {
     // A backend server that does not answer may still take the order: renewed
     // again and again, its lease would never be known to have lapsed.
-    if (port_->MayAct() && server->suspect_until <= now) {
-      const milliseconds lease =
-          port_->IsSettled() ? std::min(options_.lease, options_.hold_max)
-                             : options_.hold_max;
-      order.lease_end_ms =
-          ClockOf(*server, now) + static_cast<uint64_t>(lease.count());
+    if (port_->MayRenew(options_.hold_max - options_.lease) &&
+        server->suspect_until <= now) {
+      order.lease_end_ms = ClockOf(*server, now) +
+                           static_cast<uint64_t>(options_.lease.count());
       server->lease_end_ms =
           std::max(server->lease_end_ms, *order.lease_end_ms);
     }
@@ -256,8 +291,8 @@
   if (live->phase != RunPhase::kDoubt) {
     live->phase = RunPhase::kStopping;
   }
-  if (live->stop_in_flight) {
-    return;
+  if (live->stop_in_flight || live->sent == kNever) {
+    return;  // What was not sent yet will not be.
   }
   live->stop_in_flight = true;
   live->stop_sent = now;
@@ -411,6 +446,7 @@
   server->next_hold = report.ended.empty() ? now : now + kLookPause;
   TakeEnds(server, report, now);
   TakeRunning(server, report, sent, now);
+  Unhide(backend, now);
 }
 
 void Cell::TakeEnds(Server* server, const BackendReport& report, Time now) {
@@ -486,7 +522,9 @@
     usage_[live.team] = usage_[live.team] + live.need;
   }
   const bool wanted = task != nullptr && job->state == JobState::kActive &&
-                      task->phase == TaskPhase::kWaiting && !settled_;
+                      task->phase == TaskPhase::kWaiting && task->hidden &&
+                      task->where == server->entry.id &&
+                      task->run == row.run.number;
   auto& added = server->runs[row.run] = live;
   LogEvent(Part::kPlacer, wanted ? "run_adopted" : "run_unwanted",
            {{"task", platform::TaskName(row.run.task)},
@@ -496,9 +534,8 @@
     SendStop(server, row.run, &added, now);
     return;
   }
+  ForgetHidden(*job, row.run.task, task);
   task->phase = TaskPhase::kLive;
-  task->where = server->entry.id;
-  task->run = row.run.number;
   step->live += 1;
   step->started = now;
   job->started = true;
@@ -582,6 +619,13 @@
     TaskDone(job, end.run.task, now);
     return;
   }
+  if (task->hidden && task->where == server->entry.id &&
+      task->run == end.run.number) {
+    ForgetHidden(*job, end.run.task, task);
+    if (!end.saved.empty() && job->spec.steps[end.run.task.step].checkpoint) {
+      task->saved = end.saved;
+    }
+  }
   if (end.end == RunEnd::kFailed) {
     TaskFailed(server, job, end.run, now);
   }
@@ -634,6 +678,9 @@
         }
       }
     }
+    if (task.hidden) {
+      ForgetHidden(*job, {ref.job, ref.occurrence, ref.step, index}, &task);
+    }
     task.phase = TaskPhase::kDone;
     ++step.done;
   };
@@ -738,22 +785,15 @@
   }
 }
 
-/// Gangs of which only a part was found running: the rest never started.
-void Cell::BreakPartialGangs(Time now) {
-  for (auto& it : jobs_) {
-    Job& job = it.second;
-    if (!job.inherited || job.state != JobState::kActive) {
-      continue;
-    }
-    for (auto& occurrence : job.occurrences) {
-      for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
-        const Step& step = occurrence.second.steps[n];
-        if (job.spec.steps[n].gang && step.live > 0 &&
-            step.live < step.tasks.size()) {
-          BreakGang(&job, {it.first, occurrence.first, n, 0}, now);
-        }
-      }
-    }
+/// A gang of which only a part was found running: the rest never started.
+void Cell::BreakPartialGang(Job* job, const StepRef& ref, Time now) {
+  Step& step = job->occurrences.at(ref.occurrence).steps[ref.step];
+  const bool any_hidden =
+      std::any_of(step.tasks.begin(), step.tasks.end(),
+                  [](const Task& it) { return it.hidden; });
+  if (job->spec.steps[ref.step].gang && !any_hidden && step.live > 0 &&
+      step.live + step.done < step.tasks.size()) {
+    BreakGang(job, {ref.job, ref.occurrence, ref.step, 0}, now);
   }
 }
 
--- a/src/config_watch.cc
+++ b/src/config_watch.cc
@@ -8,7 +8,7 @@
 
 /// Long poll of the operator's records. The view is up to twice as old, which
 /// must stay well within the time in which a key stops working.
-constexpr milliseconds kPoll{900};
+constexpr milliseconds kPoll{600};
 constexpr milliseconds kRetry{150};
 
 const platform::Partition& OperatorPartition() {
--- a/src/front.cc
+++ b/src/front.cc
@@ -12,18 +12,24 @@
 constexpr milliseconds kRetryPause{40};
 /// A call that surely reached no owner is refused after this.
 constexpr milliseconds kOwnerWait{500};
-/// The owner answers in some 10 ms, or in 900 ms with a slow store.
-constexpr milliseconds kOwnerTimeout{900};
-/// Callers are answered this long before they go away.
+/// The owner answers in some 10 ms, or in 900 ms with a slow store; a call that
+/// is sent again joins the one that is under way.
+constexpr milliseconds kOwnerTimeout{500};
+/// A call that may have been taken is answered as unknown after this, while its
+/// caller has time left to ask again at another instance.
+constexpr milliseconds kUnknownWait{1200};
+/// Callers are answered this long before they go away, or by the last quarter
+/// of their time.
 constexpr milliseconds kAnswerMargin{150};
+constexpr int kMarginPart = 4;
 constexpr uint32_t kRetryAfterMs = 1000;
 /// Keys count as current while the view of the configuration is younger than
 /// the time in which they stop working, less what an answer takes.
 constexpr milliseconds kRevokeMargin{1200};
 /// Refusals for want of a key or queue need a view younger than this.
-constexpr uint32_t kSureViewMs = 1900;
+constexpr uint32_t kSureViewMs = 1800;
 /// An instance with an older view takes no new connections.
-constexpr uint32_t kReadyViewMs = 2300;
+constexpr uint32_t kReadyViewMs = 2000;
 constexpr size_t kMaxOpenCalls = 2000;
 
 constexpr int kOk = 200;
@@ -57,7 +63,9 @@
   call->ingress = platform::ReadIngressCall(request);
   call->responder = std::move(responder);
   call->received = BootClock::now();
-  call->give_up = call->received + call->ingress.wait - kAnswerMargin;
+  call->give_up =
+      call->received + call->ingress.wait -
+      std::min(kAnswerMargin, call->ingress.wait / kMarginPart);
   ++open_;
   if (open_ > kMaxOpenCalls ||
       !parts_.core->Post([this, call] { Take(call); })) {
@@ -205,8 +213,9 @@
   const Time now = BootClock::now();
   const bool submit = call->message.kind() ==
                       static_cast<uint32_t>(CellCallKind::kSubmit);
-  const bool give_up_early =
-      !(submit && call->unknown_sends > 0) && now - call->received > kOwnerWait;
+  const milliseconds patience =
+      submit && call->unknown_sends > 0 ? kUnknownWait : kOwnerWait;
+  const bool give_up_early = now - call->received > patience;
   if (now >= call->give_up || give_up_early) {
     GiveUp(call, why);
     return;
--- a/src/membership_base.h
+++ b/src/membership_base.h
@@ -48,6 +48,11 @@
   bool MayAct() const {
     return owns_.load() && ToMicros(BootClock::now()) < term_end_us_.load();
   }
+  /// @return True for `after` longer than MayAct. Thread-safe.
+  bool MayRenew(milliseconds after) const {
+    return owns_.load() &&
+           ToMicros(BootClock::now() - after) < term_end_us_.load();
+  }
   /// @return Time since the newest answered renewal was sent.
   uint32_t RenewalAgeMs(Time now) const { return AgeMs(renewed_at_, now); }
 
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -454,6 +454,10 @@
   return parts_.membership->MayAct();
 }
 
+bool Owner::MayRenew(milliseconds after) const {
+  return parts_.membership->MayRenew(after);
+}
+
 bool Owner::IsSettled() const {
   return parts_.membership->RenewalAgeMs(BootClock::now()) < kSettledMs;
 }
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -75,6 +75,7 @@
   bool Withdraw(uint64_t number) override;
   void OnFenced() override;
   bool MayAct() const override;
+  bool MayRenew(milliseconds after) const override;
   bool IsSettled() const override;
 
   void Fence();
--- a/src/platform/store.cc
+++ b/src/platform/store.cc
@@ -19,7 +19,7 @@
 /// Calls that the store answers at once; a slow store takes some 400 ms.
 constexpr milliseconds kCallTimeout{1500};
 /// Added to the wait of a long read for the way there and back.
-constexpr milliseconds kReadSlack{1000};
+constexpr milliseconds kReadSlack{700};
 
 uint64_t ReadBigEndian(const std::string& bytes, size_t at, size_t count) {
   uint64_t out = 0;
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -64,13 +64,14 @@
      "A pace is in force after this time, in ms."},
     {"bounds", "harm_ms", SettingType::kReal, "4000", 0, 600000,
      "A serving task may be slowed by others for this time, in ms."},
-    {"timing", "member_ttl_ms", SettingType::kInt, "2000", 500, 60000,
+    {"timing", "member_ttl_ms", SettingType::kInt, "1200", 500, 60000,
      "Term of a member of the owners' group, in ms: a dead owner is replaced "
      "after it."},
-    {"timing", "join_every_ms", SettingType::kInt, "400", 50, 10000,
+    {"timing", "join_every_ms", SettingType::kInt, "300", 50, 10000,
      "Time between two renewals of that term, in ms."},
-    {"timing", "lease_ms", SettingType::kInt, "6500", 1000, 600000,
-     "Lease of tasks while the store is well, in ms."},
+    {"timing", "lease_percent", SettingType::kInt, "65", 10, 100,
+     "Lease of tasks, in percent of the longest that backend servers grant. An "
+     "owner renews leases for the rest of that time after its term ended."},
 };
 
 }  // namespace bw::table
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -69,6 +69,7 @@
   }
   void OnFenced() override { fenced = true; }
   bool MayAct() const override { return may_act; }
+  bool MayRenew(milliseconds) const override { return may_act; }
   bool IsSettled() const override { return store_well; }
 
   /// Stores everything that waits, as the platform's store would.
