Fix: [Cell] Members of a gang that are done wait for the others

Ruled out: leases and records of starts (the same with either). Change: for gangs only early idleness counts.

--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -29,6 +29,10 @@
 constexpr milliseconds kAvoidFor{4'000};
 /// A running task that used no processor time for this long stands still.
 constexpr milliseconds kIdleLimit{1'500};
+/// A gang's member without processor time may be done with its own work from
+/// this part of the estimate on, up to this multiple of it.
+constexpr double kGangIdlePart = 0.5;
+constexpr double kGangIdleFactor = 4;
 
 /// Work without a checkpoint is given up on a leaving backend server only if it
 /// would end this long after the server may leave, as that often takes longer.
@@ -549,9 +553,18 @@
   Step* step = nullptr;
   if (row.figure > 0 || row.percent == 0 ||
       live->phase != RunPhase::kRunning ||
-      FindTask(row.run.task, &job, &step) == nullptr ||
-      job->spec.steps[row.run.task.step].target_ms > 0 ||
-      job->spec.steps[row.run.task.step].fills) {
+      FindTask(row.run.task, &job, &step) == nullptr) {
+    live->idle_since = kNever;
+    return;
+  }
+  const StepSpec& spec = job->spec.steps[row.run.task.step];
+  const double ran_ms = AgeMs(live->answered, now);
+  // A member of a gang whose own work is done waits for the others.
+  const bool may_be_done =
+      spec.gang &&
+      ran_ms > kGangIdlePart * static_cast<double>(spec.estimate_ms) &&
+      ran_ms < kGangIdleFactor * static_cast<double>(spec.estimate_ms);
+  if (spec.target_ms > 0 || spec.fills || may_be_done) {
     live->idle_since = kNever;
     return;
   }
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -365,6 +365,29 @@
   }
 }
 
+// Load: members of a gang end at different times and wait for the last one.
+TEST(Cell, GangMemberThatIsDoneIsNotTakenAsStandingStill) {
+  CellBench it(1);
+  it.Submit(kJob,
+            R"({"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":100,)"
+            R"("estimateMs":6000,"gang":true}]})");
+  it.Pass(4000);
+  const auto run = it.Find(First(kJob));
+  it.backends.at(run->first).idle_runs.insert(run->second);
+  it.Pass(4000);
+  CHECK(it.stop_log.empty());
+}
+
+TEST(Cell, TaskThatStandsStillStartsElsewhere) {
+  CellBench it(2);
+  it.Submit(kJob, CellBench::Tasks(1, 1000));
+  const auto run = it.Find(First(kJob));
+  it.backends.at(run->first).idle_runs.insert(run->second);
+  it.Pass(4500);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+  CHECK(it.Find(First(kJob))->first != run->first);
+}
+
 // Load: the advice service is overloaded and says so at once.
 TEST(Cell, AdviceGivenAtOnceIsNotWaitedFor) {
   CellBench it(2);
--- a/test/support/cell_bench.h
+++ b/test/support/cell_bench.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,6 +22,7 @@
   uint64_t lease_end_ms = 0;
   uint64_t last_end = 0;
   bool reachable = true;
+  std::set<RunRef> idle_runs;  ///< Use no processor time.
   std::map<RunRef, std::string> running;  ///< With the checkpoint.
   std::map<RunRef, uint64_t> stopped;     ///< Runs that may not start.
   std::vector<ListedEnd> ended;
@@ -75,7 +77,8 @@
     out.clock_ms = clock_ms;
     out.incarnation = entry.incarnation;
     for (const auto& it : running) {
-      out.running.push_back({it.first, it.second, 100, 1000});
+      const bool idle = idle_runs.contains(it.first);
+      out.running.push_back({it.first, it.second, 100, idle ? 0U : 1000U});
     }
     out.ended = ended;
     return out;
