Feature: [Cell] What an account is not owed comes last; more servers are named

Cause: after a hot tenant 700 steps waited; fresh quotes found the advice busy with steps that could not win anything, and only few servers named. Change: work beyond an account's rate comes after all else and is turned away once 40 such steps wait; late steps ask only idle instances; questions name more servers as long as they add a third to their time.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -165,6 +165,16 @@
   const AccountPolicy* account = config_->FindAccount(team);
   job.over_share =
       account != nullptr && shares_.IsOver(team, account->weight, now);
+  if (IsTurnedAway(job.over_share, CountOverShareWaiting())) {
+    LogEvent(Part::kPlacer, "job_refused",
+             {{"job", id.value},
+              {"team", team.value},
+              {"queue", queue.value},
+              {"why", "account beyond its rate"},
+              {"waiting_steps", ready_.size()}});
+    done(Refuse(CellVerdict::kOverloaded, "account beyond its rate"));
+    return;
+  }
   job.waiting_accept.push_back(std::move(done));
   proto::JobRecord record;
   record.set_team(team.value);
@@ -387,6 +397,15 @@
   }
 }
 
+size_t Cell::CountOverShareWaiting() const {
+  size_t out = 0;
+  for (const auto& it : ready_) {
+    auto job = jobs_.find(it.job);
+    out += job != jobs_.end() && job->second.over_share ? 1 : 0;
+  }
+  return out;
+}
+
 uint64_t Cell::CountWaiting(const QueueId& queue) const {
   uint64_t out = 0;
   for (const auto& it : jobs_) {
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -52,9 +52,11 @@
   virtual void Hold(const BackendEntry& to, platform::HoldOrder order) = 0;
   /// @return False if the advice service takes no more questions now.
   /// Answer: Cell::OnAdvice.
+  /// @param urgent May wait for an instance that is still asking.
   virtual bool AskAdvice(const StepRef& step,
                          const std::vector<BackendId>& backends,
-                         milliseconds expected) = 0;
+                         milliseconds expected,
+                         bool urgent) = 0;
   /// Stores records as one; `done` runs once they are kept for good, in the
   /// order of the calls. Not run if the cell is lost first.
   /// @return A number for Withdraw.
@@ -288,6 +290,7 @@
   void StopAll(Job* job, Time now);
   void OnAccepted(const JobId& id);
   void RefuseUnstored(Time now);
+  size_t CountOverShareWaiting() const;
   void OnEndStored(const JobId& id, const EndedJob& ended);
   CellOutcome Refuse(CellVerdict verdict, const char* reason) const;
 
@@ -329,11 +332,11 @@
                        Time now) const;
   void OpenPass(Pass* pass);
   void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
-  bool PlaceStep(Pass* pass, const StepRef& ref);
+  bool PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
   void FillRooms(Pass* pass, const Job& job, const StepRef& ref,
                  const Step& step);
   void AskForAdvice(Pass* pass, Job* job, const StepRef& ref, Step* step,
-                    const StepNeed& need);
+                    const StepNeed& need, bool urgent);
   void AskAhead(Time now);
   void LogLongWaits(Time now) const;
   uint32_t QuotaSlots(const Job& job, const Resources& need) const;
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -19,8 +19,11 @@
 /// Slots on good servers wanted for each task: others take some meanwhile.
 constexpr double kSlotsPerTask = 1.3;
 constexpr double kSlotsPerGangTask = 1.6;
-/// Backend servers named in one question at most.
-constexpr size_t kMaxNamed = 40;
+/// Backend servers named in one question at most; and more than are needed, as
+/// long as they add only this part to the time of the question. Any of them may
+/// have room first.
+constexpr size_t kMaxNamed = 60;
+constexpr double kCheapPart = 0.35;
 /// First guess of the share of servers that may run a step.
 constexpr double kFirstGoodShare = 0.5;
 constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
@@ -125,7 +128,9 @@
   uint32_t looked_at = 0;
   for (const auto& it : order) {
     const StepRef ref = *it.second;  // PlaceStep may take it out of `ready_`.
-    if (!PlaceStep(&pass, ref) && ++looked_at >= kMaxUnplaced) {
+    const bool urgent =
+        !it.first.over_share && OutlookOf(it.first) == Outlook::kInTime;
+    if (!PlaceStep(&pass, ref, urgent) && ++looked_at >= kMaxUnplaced) {
       break;
     }
   }
@@ -221,7 +226,7 @@
 }
 
 /// @return True if nothing of the step waits any more.
-bool Cell::PlaceStep(Pass* pass, const StepRef& ref) {
+bool Cell::PlaceStep(Pass* pass, const StepRef& ref, bool urgent) {
   Job* job = nullptr;
   Step* step = FindStep(ref, &job);
   if (step == nullptr || step->not_before > pass->now || step->breaking) {
@@ -301,7 +306,7 @@
   pass->rooms = std::move(rooms);
   step->why = "room";
   if (job->policy.advice) {
-    AskForAdvice(pass, job, ref, step, need);
+    AskForAdvice(pass, job, ref, step, need, urgent);
     LimitToTickets(pass, *step, kNever);
   }
   if (spec.gang && pass->reservations < kMaxReservations &&
@@ -420,7 +425,8 @@
                         Job* job,
                         const StepRef& ref,
                         Step* step,
-                        const StepNeed& need) {
+                        const StepNeed& need,
+                        bool urgent) {
   AdviceState& advice = step->advice;
   const AdvicePolicy& policy = *job->policy.advice;
   if (advice.asking || advice.next_ask > pass->now) {
@@ -448,10 +454,10 @@
       continue;
     }
     const uint32_t now_slots = SlotsIn(room, room.free, need);
-    const uint32_t slots = now_slots > 0 ? now_slots
-                           : need.gang || slow ? SlotsIn(room, room.total, need)
-                                               : 0;
-    if (slots == 0) {
+    const uint32_t slots = now_slots > 0 || (!need.gang && !slow)
+                               ? now_slots
+                               : SlotsIn(room, room.total, need);
+    if (slots == 0 && SlotsIn(room, room.total, need) == 0) {
       continue;
     }
     auto good = advice.good.find(id);
@@ -479,7 +485,9 @@
             });
   std::vector<BackendId> names;
   for (const auto& it : candidates) {
-    if (expected >= wanted || names.size() >= kMaxNamed) {
+    const bool dear = policy.per_server_ms * static_cast<double>(names.size()) >=
+                      policy.base_ms * kCheapPart;
+    if ((expected >= wanted && dear) || names.size() >= kMaxNamed) {
       break;
     }
     expected += it.slots;
@@ -488,7 +496,7 @@
   const milliseconds time(static_cast<int64_t>(
       policy.base_ms + policy.per_server_ms * static_cast<double>(names.size())));
   advice.asking = true;
-  if (!port_->AskAdvice(ref, names, time)) {
+  if (!port_->AskAdvice(ref, names, time, urgent)) {
     advice.asking = false;
   }
   step->why = advice.asking ? "advice" : "the advice service is busy";
@@ -612,7 +620,7 @@
         need.gang = job.spec.steps[n].gang;
         need.per_server = job.spec.steps[n].per_server;
         FillRooms(&pass, job, ref, step);
-        AskForAdvice(&pass, &job, ref, &step, need);
+        AskForAdvice(&pass, &job, ref, &step, need, true);
       }
     }
   }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -24,7 +24,7 @@
 constexpr milliseconds kOwnerEvery{2000};
 constexpr milliseconds kMembersEvery{2000};
 /// Standbys join at different times, so that mostly one does.
-constexpr uint32_t kStandSpreadMs = 250;
+constexpr uint32_t kStandSpreadMs = 700;
 /// Presence in the fleet is renewed this often, and ends after this.
 constexpr milliseconds kPresenceEvery{1500};
 constexpr uint32_t kPresenceTtlMs = 5000;
--- a/src/order.cc
+++ b/src/order.cc
@@ -8,6 +8,9 @@
 
 /// An end up to three times the objective is worth something: RULES, "Credit".
 constexpr uint64_t kLateFactor = 3;
+/// Jobs beyond their accounts' rates that wait at once. They get what the
+/// others leave, so more would only wait.
+constexpr size_t kMaxOverShareWaiting = 40;
 /// Seconds of an account's rate that may come at once.
 constexpr double kShareBurstS = 2;
 
@@ -26,7 +29,7 @@
 
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
   const auto key = [](const WaitingStep& it) {
-    return std::make_tuple(OutlookOf(it), it.priority, it.over_share,
+    return std::make_tuple(it.over_share, OutlookOf(it), it.priority,
                            it.objective_in_ms - it.remaining_ms, it.arrival,
                            it.step);
   };
@@ -58,6 +61,10 @@
   return longest;
 }
 
+bool IsTurnedAway(bool over_share, size_t over_share_waiting) {
+  return over_share && over_share_waiting >= kMaxOverShareWaiting;
+}
+
 bool ShareMeter::IsOver(const TeamId& team, double per_second, Time now) {
   if (per_second <= 0) {
     return false;
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -30,8 +30,8 @@
 };
 Outlook OutlookOf(const WaitingStep& it);
 
-/// @return True if `a` gets room before `b`: what can still be in time first,
-/// then by priority, then what its account is owed, then by the least slack.
+/// @return True if `a` gets room before `b`: what its account is owed first,
+/// then what can still be in time, then by priority, then by the least slack.
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b);
 
 /// A job's latency objective, and when its end stops being worth anything.
@@ -49,6 +49,11 @@
 uint64_t LongestChainMs(const BatchSpec& spec,
                         const std::vector<bool>& still_to_do);
 
+/// @return True if a job is not taken in now: it is beyond what its account is
+/// owed, and such work already waits in vain.
+/// @param over_share_waiting Jobs beyond their accounts' rates that wait.
+bool IsTurnedAway(bool over_share, size_t over_share_waiting);
+
 /// Jobs a second that a client account is owed, as a token bucket. Not
 /// thread-safe.
 class ShareMeter {
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -360,11 +360,13 @@
 
 bool Owner::AskAdvice(const StepRef& step,
                       const std::vector<BackendId>& backends,
-                      milliseconds expected) {
+                      milliseconds expected,
+                      bool urgent) {
   const Time now = BootClock::now();
   std::string to;
   AdviceChannel* channel = PickChannel(expected, now, &to);
-  if (channel == nullptr || channel->busy_until > now + kAdviceBacklog) {
+  const Duration backlog = urgent ? kAdviceBacklog : milliseconds(0);
+  if (channel == nullptr || channel->busy_until > now + backlog) {
     return false;
   }
   channel->busy_until = std::max(channel->busy_until, now) + expected;
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -69,7 +69,8 @@
   void Hold(const BackendEntry& to, platform::HoldOrder order) override;
   bool AskAdvice(const StepRef& step,
                  const std::vector<BackendId>& backends,
-                 milliseconds expected) override;
+                 milliseconds expected,
+                 bool urgent) override;
   uint64_t Keep(std::vector<std::string> records,
                 std::function<void()> done) override;
   bool Withdraw(uint64_t number) override;
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -46,7 +46,8 @@
   }
   bool AskAdvice(const StepRef& step,
                  const std::vector<BackendId>& backends,
-                 milliseconds expected) override {
+                 milliseconds expected,
+                 bool) override {
     questions.push_back({step, backends, expected});
     if (on_question) {
       on_question(questions.back());
