Fix: [Owner] Leaving instances learn the new owner; acceptance and advice overlap

Cause: an instance that had left the groups asked for the owner no more and refused all calls until its end; a standby looked for an owner only at the end of its wait; room and advice were looked for after the acceptance was stored.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -162,9 +162,7 @@
   job.accepted = now;
   job.arrival = ++arrivals_;
   job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
-  const AccountPolicy* account = config_->FindAccount(team);
-  job.over_share =
-      account != nullptr && shares_.IsOver(team, account->weight, now);
+  job.over_share = IsOverShare(id, team, now);
   if (IsTurnedAway(job.over_share, CountOverShareWaiting())) {
     LogEvent(Part::kPlacer, "job_refused",
              {{"job", id.value},
@@ -184,10 +182,22 @@
   record.set_service(policy->service);
   record.set_max_attempts(policy->max_attempts);
   record.set_over_share(job.over_share);
-  auto& added = jobs_[id] = std::move(job);
+  Job& added = jobs_[id] = std::move(job);
   added.keep_number = port_->Keep(
       {platform::MakeKeyedRecord("s:" + id.value, record.SerializeAsString())},
       [this, id] { OnAccepted(id); });
+  // Advice and room are looked for meanwhile. Starts wait for their own record,
+  // which is stored after this one.
+  OpenJob(&added, now);
+}
+
+void Cell::OpenJob(Job* job, Time now) {
+  if (job->spec.repeat_count > 0 || job->spec.start_at_ms > 0) {
+    timed_.insert(job->id);
+    OpenDueOccurrences(job, wall_ms_, now);
+  } else if (job->occurrences.empty()) {
+    AddOccurrence(job, 0, now);
+  }
 }
 
 void Cell::OnAccepted(const JobId& id) {
@@ -205,12 +215,6 @@
             {"config", config_ ? config_->version : 0}});
   auto waiting = std::move(job->waiting_accept);
   job->waiting_accept.clear();
-  if (job->spec.repeat_count > 0 || job->spec.start_at_ms > 0) {
-    timed_.insert(id);
-    OpenDueOccurrences(job, wall_ms_, job->accepted);
-  } else if (job->state == JobState::kActive) {
-    AddOccurrence(job, 0, job->accepted);
-  }
   for (auto& it : waiting) {
     it(Accept("queued"));
   }
@@ -233,6 +237,7 @@
               {"why", "store away"},
               {"waited_ms", AgeMs(job.accepted, now)}});
     auto waiting = std::move(job.waiting_accept);
+    timed_.erase(it->first);
     it = jobs_.erase(it);
     for (auto& done : waiting) {
       done(Refuse(CellVerdict::kStoreAway, "store does not answer"));
@@ -397,6 +402,23 @@
   }
 }
 
+/// A job that was beyond its account's rate stays so when it is handed in again:
+/// it must not take the place of a new one.
+bool Cell::IsOverShare(const JobId& id, const TeamId& team, Time now) {
+  const AccountPolicy* account = config_->FindAccount(team);
+  if (account == nullptr) {
+    return false;
+  }
+  if (over_share_.contains(id)) {
+    return true;
+  }
+  const bool over = shares_.IsOver(team, account->weight, now);
+  if (over) {
+    over_share_[id] = now;
+  }
+  return over;
+}
+
 size_t Cell::CountOverShareWaiting() const {
   size_t out = 0;
   for (const auto& it : ready_) {
@@ -423,7 +445,7 @@
   RefuseUnstored(now);
   const std::set<JobId> timed = timed_;
   for (const auto& id : timed) {
-    if (Job* job = FindJob(id); job != nullptr && job->stored) {
+    if (Job* job = FindJob(id); job != nullptr) {
       OpenDueOccurrences(job, wall_ms, now);
     }
   }
@@ -454,6 +476,10 @@
   constexpr milliseconds kSweepEvery{5000};
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepEvery;
+    constexpr milliseconds kRetriesEnd{20'000};
+    std::erase_if(over_share_, [&](const auto& it) {
+      return now - it.second > kRetriesEnd;
+    });
     DropOldJobs(wall_ms);
   }
 }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -289,8 +289,10 @@
   void EndJob(Job* job, JobState state, Time now);
   void StopAll(Job* job, Time now);
   void OnAccepted(const JobId& id);
+  void OpenJob(Job* job, Time now);
   void RefuseUnstored(Time now);
   size_t CountOverShareWaiting() const;
+  bool IsOverShare(const JobId& id, const TeamId& team, Time now);
   void OnEndStored(const JobId& id, const EndedJob& ended);
   CellOutcome Refuse(CellVerdict verdict, const char* reason) const;
 
@@ -372,6 +374,7 @@
   std::map<TeamId, Resources> usage_;
   std::map<QueueId, double> good_share_;  ///< Of servers named to the advice.
   ShareMeter shares_;
+  std::map<JobId, Time> over_share_;  ///< Jobs found beyond the rate lately.
   std::map<std::string, uint32_t> racks_;
   Time now_ = kNever;  ///< Of the last tick or run.
   uint64_t wall_ms_ = 0;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -326,12 +326,7 @@
     if (progress != loaded_progress_.end()) {
       ApplyProgress(job, progress->second, now);
     }
-    if (job->spec.repeat_count > 0 || job->spec.start_at_ms > 0) {
-      timed_.insert(it.first);
-      OpenDueOccurrences(job, wall_ms_, now);
-    } else if (job->occurrences.empty()) {
-      AddOccurrence(job, 0, now);
-    }
+    OpenJob(job, now);
     for (auto& occurrence : job->occurrences) {
       occurrence.second.steps_done = static_cast<uint32_t>(std::count_if(
           occurrence.second.steps.begin(), occurrence.second.steps.end(),
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -72,22 +72,17 @@
 }
 
 void Membership::Tick(Time now) {
-  if (left_) {
-    return;
-  }
-  if (now >= next_presence_) {
+  if (!left_ && now >= next_presence_) {
     SendPresence(now);
   }
-  if (role_ == Role::kStanding && now >= stand_at_ && !asking_owner_) {
-    AskOwner(now);  // Joins if there is still no owner.
-  }
   if (role_ == Role::kJoined && now >= next_join_ &&
       joins_in_flight_ < kMaxJoinsInFlight) {
     SendJoin(now);
   }
   const Time due =
       owner_asked_ + (owner_doubted_ ? kOwnerPause : kOwnerEvery);
-  if (!asking_owner_ && role_ != Role::kStanding && now >= due) {
+  const bool stands = role_ == Role::kStanding && now >= stand_at_;
+  if (!asking_owner_ && (stands || now >= due)) {
     AskOwner(now);
   }
   if (owns_ && !asking_members_ && now >= members_asked_ + kMembersEvery) {
@@ -195,7 +190,7 @@
 
 void Membership::OnOwner(const platform::OwnersAnswer& answer) {
   asking_owner_ = false;
-  if (answer.status != platform::StoreStatus::kOk || left_) {
+  if (answer.status != platform::StoreStatus::kOk) {
     return;
   }
   std::string owner;
@@ -219,7 +214,7 @@
     owner_address_ = owner;
   }
   owner_doubted_ = owner.empty();
-  if (role_ == Role::kJoined) {
+  if (role_ == Role::kJoined || left_) {
     return;
   }
   const Time now = BootClock::now();
@@ -228,7 +223,7 @@
   } else if (role_ == Role::kWatching) {
     role_ = Role::kStanding;
     stand_at_ = now + milliseconds(randombytes_uniform(kStandSpreadMs));
-  } else {
+  } else if (now >= stand_at_) {
     role_ = Role::kJoined;
     next_join_ = now;
     LogEvent(Part::kMember, "cell_wanted", {});
@@ -265,6 +260,7 @@
 
 void Membership::Leave(std::function<void()> done) {
   left_ = true;
+  role_ = Role::kWatching;
   if (owns_) {
     Lose("shutdown");
   }
