--- a/src/advisor.cc
+++ b/src/advisor.cc
@@ -35,19 +35,18 @@
     asking_ = true;
     const auto left =
         std::chrono::duration_cast<milliseconds>(question.give_up_at - now);
-    http_->Send(platform::MakeAdviceCall(address_, question.step_name,
-                                         question.backends, left),
-                {},
-                [this, done = std::move(question.done)](
-                    const net::HttpResult& result) {
-                  core_->PostWaiting(
-                      [this, done,
-                       answer = platform::ReadAdviceAnswer(result)] {
-                        asking_ = false;
-                        done(answer);
-                        SendNext();
-                      });
-                });
+    http_->Send(
+        platform::MakeAdviceCall(address_, question.step_name,
+                                 question.backends, left),
+        {},
+        [this, done = std::move(question.done)](const net::HttpResult& result) {
+          core_->PostWaiting(
+              [this, done, answer = platform::ReadAdviceAnswer(result)] {
+                asking_ = false;
+                done(answer);
+                SendNext();
+              });
+        });
   }
 }
 
--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -18,8 +18,7 @@
 
 EntryOptions OptionsFrom(const Settings& settings) {
   const auto ms = [&](const char* name, double factor = 1) {
-    return milliseconds(
-        static_cast<int64_t>(settings.Real(name) * factor));
+    return milliseconds(static_cast<int64_t>(settings.Real(name) * factor));
   };
   constexpr double kMsPerSecond = 1000;
   const std::string& host = settings.Text("mesh.host");
@@ -72,9 +71,9 @@
     arguments.push_back(from_platform.c_str());
   }
   int exit_code = 0;
-  auto line = ReadCommandLine(static_cast<int>(arguments.size()),
-                              arguments.data(), "[OPTION...]",
-                              table::kEntrySettings, {}, &exit_code);
+  auto line =
+      ReadCommandLine(static_cast<int>(arguments.size()), arguments.data(),
+                      "[OPTION...]", table::kEntrySettings, {}, &exit_code);
   if (!line) {
     return exit_code;
   }
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -94,8 +94,7 @@
     return nullptr;
   }
   auto it = (*job)->occurrences.find(ref.occurrence);
-  if (it == (*job)->occurrences.end() ||
-      ref.step >= it->second.steps.size()) {
+  if (it == (*job)->occurrences.end() || ref.step >= it->second.steps.size()) {
     return nullptr;
   }
   return &it->second.steps[ref.step];
@@ -365,7 +364,8 @@
       platform::MakeKeyedRecord("s:" + id.value, "")};
   changed_.erase(id);
   job->changed = false;
-  port_->Keep(std::move(records), [this, id, ended] { OnEndStored(id, ended); });
+  port_->Keep(std::move(records),
+              [this, id, ended] { OnEndStored(id, ended); });
 }
 
 void Cell::OnEndStored(const JobId& id, const EndedJob& ended) {
@@ -402,8 +402,8 @@
   }
 }
 
-/// A job that was beyond its account's rate stays so when it is handed in again:
-/// it must not take the place of a new one.
+/// A job that was beyond its account's rate stays so when it is handed in
+/// again: it must not take the place of a new one.
 bool Cell::IsOverShare(const JobId& id, const TeamId& team, Time now) {
   const AccountPolicy* account = config_->FindAccount(team);
   if (account == nullptr) {
@@ -507,9 +507,9 @@
     if (server.known && server.listed && !server.entry.draining) {
       ++out.usable_servers;
       out.total_millicores += server.entry.capacity.millicores;
-      out.free_millicores += server.entry.capacity.millicores -
-                             std::min(server.used.millicores,
-                                      server.entry.capacity.millicores);
+      out.free_millicores +=
+          server.entry.capacity.millicores -
+          std::min(server.used.millicores, server.entry.capacity.millicores);
     }
   }
   return out;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -29,7 +29,7 @@
 
 /// Bounds and times of a cell, from the settings.
 struct CellOptions {
-  uint64_t fencing_token = 0;  ///< Higher than that of any former owner.
+  uint64_t fencing_token = 0;     ///< Higher than that of any former owner.
   milliseconds hold_max{10'000};  ///< Longest lease backend servers grant.
   milliseconds lease{6'500};      ///< Lease asked for; shorter than hold_max.
   milliseconds status_kept{120'000};  ///< Ended jobs stay known this long.
@@ -174,7 +174,7 @@
     RunPhase phase = RunPhase::kStarting;
     Resources need;
     TeamId team;
-    bool foreign = false;  ///< Its job is not known; its needs neither.
+    bool foreign = false;    ///< Its job is not known; its needs neither.
     Time sent = kNever;      ///< When the start was sent.
     Time answered = kNever;  ///< When the start was answered.
     Time stop_sent = kNever;
@@ -187,7 +187,7 @@
   struct Server {
     BackendEntry entry;
     bool listed = false;
-    bool kept = false;   ///< Its record is stored; work may go there.
+    bool kept = false;  ///< Its record is stored; work may go there.
     bool keeping = false;
     bool known = false;  ///< Its lists were read under this owner.
     Resources used;
@@ -201,10 +201,10 @@
     uint64_t lease_end_ms = 0;
     uint64_t last_end = 0;      ///< Newest end taken in.
     uint64_t acknowledged = 0;  ///< Ends up to here are stored.
-    Time leaves_at = kNever;  ///< While draining; not before.
+    Time leaves_at = kNever;    ///< While draining; not before.
     Time suspect_until = kNever;
-    uint32_t strikes = 0;  ///< Failures in a row.
-    uint32_t rack = 0;     ///< Number of its rack.
+    uint32_t strikes = 0;              ///< Failures in a row.
+    uint32_t rack = 0;                 ///< Number of its rack.
     uint32_t pass_index = 0xffffffff;  ///< Its place in the present pass.
     Time avoid_until = kNever;
   };
@@ -212,10 +212,10 @@
   struct Task {
     TaskPhase phase = TaskPhase::kWaiting;
     std::vector<uint64_t> failed_runs;  ///< Whose failures are counted.
-    uint64_t run = 0;       ///< Newest run number used.
-    BackendId where;        ///< While live, or where a former owner put it.
-    bool hidden = false;    ///< A former owner's run may be there, unseen.
-    BackendId failed_on;    ///< Where it failed last.
+    uint64_t run = 0;                   ///< Newest run number used.
+    BackendId where;      ///< While live, or where a former owner put it.
+    bool hidden = false;  ///< A former owner's run may be there, unseen.
+    BackendId failed_on;  ///< Where it failed last.
     std::string saved;
   };
   struct TicketInfo {
@@ -232,13 +232,13 @@
     std::vector<Task> tasks;
     uint32_t done = 0;
     uint32_t live = 0;
-    bool ready = false;     ///< All steps before it are done; its time came.
-    bool breaking = false;  ///< A gang that is being taken apart.
+    bool ready = false;       ///< All steps before it are done; its time came.
+    bool breaking = false;    ///< A gang that is being taken apart.
     Time room_kept = kNever;  ///< Last pass that kept room for it.
     std::vector<uint64_t> failed_runs;  ///< Of a gang.
     Time started = kNever;
     Time waits_since = kNever;
-    const char* why = "";  ///< What it waited for in the last pass.
+    const char* why = "";      ///< What it waited for in the last pass.
     Time not_before = kNever;  ///< After an order that was not accepted.
     AdviceState advice;
   };
@@ -315,7 +315,9 @@
   void OnGone(Server* server, const RunRef& run, const char* why, Time now);
   void TaskDone(Job* job, const TaskRef& task, Time now);
   void TaskFailed(Server* server, Job* job, const RunRef& run, Time now);
-  void TaskWaits(Job* job, const TaskRef& task, const std::string& saved,
+  void TaskWaits(Job* job,
+                 const TaskRef& task,
+                 const std::string& saved,
                  Time now);
   void Unhide(const BackendId& id, Time now);
   void ForgetHidden(const Job& job, const TaskRef& ref, Task* task);
@@ -330,20 +332,32 @@
   // cell_place.cc: placing.
   struct Pass;
   void Place(Time now);
-  WaitingStep Describe(const Job& job, const StepRef& ref, const Step& step,
+  WaitingStep Describe(const Job& job,
+                       const StepRef& ref,
+                       const Step& step,
                        Time now) const;
   void OpenPass(Pass* pass);
   void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
   bool PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
-  void FillRooms(Pass* pass, const Job& job, const StepRef& ref,
+  void FillRooms(Pass* pass,
+                 const Job& job,
+                 const StepRef& ref,
                  const Step& step);
-  void AskForAdvice(Pass* pass, Job* job, const StepRef& ref, Step* step,
-                    const StepNeed& need, bool urgent);
+  void AskForAdvice(Pass* pass,
+                    Job* job,
+                    const StepRef& ref,
+                    Step* step,
+                    const StepNeed& need,
+                    bool urgent);
   void AskAhead(Time now);
   void LogLongWaits(Time now) const;
   uint32_t QuotaSlots(const Job& job, const Resources& need) const;
-  void StartTask(Pass* pass, Job* job, const TaskRef& ref, Step* step,
-                 Server* server, uint64_t run);
+  void StartTask(Pass* pass,
+                 Job* job,
+                 const TaskRef& ref,
+                 Step* step,
+                 Server* server,
+                 uint64_t run);
   void SendStart(const RunRef& run, Time now);
   uint64_t NextRun(const Job& job, const Task& task) const;
   bool Reserve(Pass* pass, const StepNeed& need);
@@ -369,7 +383,7 @@
   std::set<StepRef> ready_;  ///< Steps with tasks that wait.
   std::set<JobId> changed_;
   std::vector<RunRef> unsent_;  ///< Starts that wait for their record.
-  std::set<JobId> timed_;  ///< Jobs with occurrences still to come.
+  std::set<JobId> timed_;       ///< Jobs with occurrences still to come.
   std::map<BackendId, uint64_t> to_acknowledge_;
   std::map<TeamId, Resources> usage_;
   std::map<QueueId, double> good_share_;  ///< Of servers named to the advice.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -187,11 +187,10 @@
     if (!failed_on.empty() && failed_on.contains(server.entry.id)) {
       room.penalty += 1;
     }
-    room.usable =
-        server.entry.service == job.policy.service &&
-        server.avoid_until <= pass->now &&
-        (spec.label.empty() ||
-         std::find(labels.begin(), labels.end(), spec.label) != labels.end());
+    room.usable = server.entry.service == job.policy.service &&
+                  server.avoid_until <= pass->now &&
+                  (spec.label.empty() || std::find(labels.begin(), labels.end(),
+                                                   spec.label) != labels.end());
     room.near_data =
         spec.rack.empty() ||
         std::find(labels.begin(), labels.end(), spec.rack) != labels.end();
@@ -258,8 +257,8 @@
   need.per_server = spec.per_server;
   need.spread = spec.perpetual;
   const auto waited = static_cast<double>(AgeMs(step->waits_since, pass->now));
-  const double patience = (options_.far_factor - 1) *
-                          static_cast<double>(spec.estimate_ms) / 2;
+  const double patience =
+      (options_.far_factor - 1) * static_cast<double>(spec.estimate_ms) / 2;
   need.same_rack = spec.same_rack && waited < 2 * patience;
   need.near_only = !spec.rack.empty() && waited < patience;
   const uint32_t allowed = QuotaSlots(*job, spec.need);
@@ -409,8 +408,8 @@
   order.payload = job->spec.payload;
   order.fencing_token = options_.fencing_token;
   order.saved = task->saved;
-  order.lease_end_ms = ClockOf(*server, now) +
-                       static_cast<uint64_t>(options_.lease.count());
+  order.lease_end_ms =
+      ClockOf(*server, now) + static_cast<uint64_t>(options_.lease.count());
   server->lease_end_ms = std::max(server->lease_end_ms, order.lease_end_ms);
   LogEvent(Part::kPlacer, "run_start",
            {{"task", platform::TaskName(run.task)},
@@ -485,8 +484,9 @@
             });
   std::vector<BackendId> names;
   for (const auto& it : candidates) {
-    const bool dear = policy.per_server_ms * static_cast<double>(names.size()) >=
-                      policy.base_ms * kCheapPart;
+    const bool dear =
+        policy.per_server_ms * static_cast<double>(names.size()) >=
+        policy.base_ms * kCheapPart;
     if ((expected >= wanted && dear) || names.size() >= kMaxNamed) {
       break;
     }
@@ -494,7 +494,8 @@
     names.push_back(pass->servers[it.server]->entry.id);
   }
   const milliseconds time(static_cast<int64_t>(
-      policy.base_ms + policy.per_server_ms * static_cast<double>(names.size())));
+      policy.base_ms +
+      policy.per_server_ms * static_cast<double>(names.size())));
   advice.asking = true;
   if (!port_->AskAdvice(ref, names, time, urgent)) {
     advice.asking = false;
@@ -538,8 +539,8 @@
   }
   if (new_names > 0) {
     double& share = good_share_[job->queue];
-    share += kGoodShareWeight *
-             (static_cast<double>(new_good) / new_names - share);
+    share +=
+        kGoodShareWeight * (static_cast<double>(new_good) / new_names - share);
     constexpr double kLeastShare = 0.05;
     share = std::max(share, kLeastShare);
   }
@@ -555,8 +556,8 @@
     if (job == jobs_.end()) {
       continue;
     }
-    const Step& step = job->second.occurrences.at(ref.occurrence)
-                           .steps[ref.step];
+    const Step& step =
+        job->second.occurrences.at(ref.occurrence).steps[ref.step];
     if (now - step.waits_since < kLong || ++lines > kMaxLines) {
       continue;
     }
@@ -601,8 +602,8 @@
         const bool soon =
             std::all_of(after.begin(), after.end(), [&](uint32_t b) {
               const Step& before = steps[b];
-              const bool running = before.done + before.live ==
-                                   before.tasks.size();
+              const bool running =
+                  before.done + before.live == before.tasks.size();
               const double left =
                   static_cast<double>(job.spec.steps[b].estimate_ms) -
                   static_cast<double>(AgeMs(before.started, now));
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -105,8 +105,8 @@
   std::vector<std::pair<uint64_t, std::pair<BackendId, uint64_t>>> stored;
   for (const auto& it : ends) {
     if (auto server = servers_.find(it.first); server != servers_.end()) {
-      stored.push_back({server->second.entry.incarnation,
-                        {it.first, it.second}});
+      stored.push_back(
+          {server->second.entry.incarnation, {it.first, it.second}});
     }
   }
   port_->Keep(std::move(records), [this, stored, starts] {
@@ -184,14 +184,13 @@
   job.body = record.body();
   job.accepted_ms = record.accepted_ms();
   job.accepted =
-      now - milliseconds(wall_ms_ > job.accepted_ms ? wall_ms_ - job.accepted_ms
-                                                    : 0);
+      now -
+      milliseconds(wall_ms_ > job.accepted_ms ? wall_ms_ - job.accepted_ms : 0);
   job.over_share = record.over_share();
   job.arrival = ++arrivals_;
   job.inherited = true;
   job.stored = true;
-  const QueuePolicy* policy =
-      config_ ? config_->FindQueue(job.queue) : nullptr;
+  const QueuePolicy* policy = config_ ? config_->FindQueue(job.queue) : nullptr;
   if (policy != nullptr) {
     job.policy = *policy;
   } else {
@@ -296,9 +295,9 @@
 void Cell::EndDecidedJobs(Time now) {
   for (auto& it : jobs_) {
     Job& job = it.second;
-    bool done = !job.occurrences.empty() &&
-                job.next_occurrence >=
-                    std::max<uint64_t>(1, job.spec.repeat_count);
+    bool done =
+        !job.occurrences.empty() &&
+        job.next_occurrence >= std::max<uint64_t>(1, job.spec.repeat_count);
     bool failed = false;
     for (const auto& occurrence : job.occurrences) {
       const auto& steps = occurrence.second.steps;
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -89,7 +89,8 @@
   server.rack = RackNumber(entry.rack);
   if (entry.draining) {
     server.leaves_at =
-        now + milliseconds(static_cast<int64_t>(entry.remaining_ms.value_or(0)));
+        now +
+        milliseconds(static_cast<int64_t>(entry.remaining_ms.value_or(0)));
   }
   server.listed = true;
   if (!same && !server.keeping) {
@@ -148,9 +149,10 @@
   server->strikes = 0;
   server->next_hold = kNever;
   to_acknowledge_.erase(server->entry.id);
-  server->clear_at = now + std::chrono::duration_cast<Duration>(
-                               options_.hold_max / kSlowestClock) +
-                     milliseconds(kLapseSlackMs);
+  server->clear_at =
+      now +
+      std::chrono::duration_cast<Duration>(options_.hold_max / kSlowestClock) +
+      milliseconds(kLapseSlackMs);
   for (const auto& it : lost) {
     OnGone(server, it, "new incarnation", now);
   }
@@ -220,8 +222,8 @@
 }
 
 void Cell::CheckServer(Server* server, Time now) {
-  if (!server->known && server->clear_at != kNever &&
-      now >= server->clear_at && server->clock_at == kNever) {
+  if (!server->known && server->clear_at != kNever && now >= server->clear_at &&
+      server->clock_at == kNever) {
     server->clear_at = kNever;
     Unhide(server->entry.id, now);
   }
@@ -277,8 +279,8 @@
     // again and again, its lease would never be known to have lapsed.
     if (port_->MayRenew(options_.hold_max - options_.lease) &&
         server->suspect_until <= now) {
-      order.lease_end_ms = ClockOf(*server, now) +
-                           static_cast<uint64_t>(options_.lease.count());
+      order.lease_end_ms =
+          ClockOf(*server, now) + static_cast<uint64_t>(options_.lease.count());
       server->lease_end_ms =
           std::max(server->lease_end_ms, *order.lease_end_ms);
     }
@@ -374,8 +376,7 @@
       step->advice.good.erase(backend);
     }
     constexpr milliseconds kPause{200};
-    if (verdict == OrderVerdict::kInvalid ||
-        verdict == OrderVerdict::kNoRoom) {
+    if (verdict == OrderVerdict::kInvalid || verdict == OrderVerdict::kNoRoom) {
       step->not_before = now + kPause;
     }
   }
@@ -455,9 +456,8 @@
 
 void Cell::TakeEnds(Server* server, const BackendReport& report, Time now) {
   auto ends = report.ended;
-  std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) {
-    return a.number < b.number;
-  });
+  std::sort(ends.begin(), ends.end(),
+            [](const auto& a, const auto& b) { return a.number < b.number; });
   for (const auto& it : ends) {
     if (it.number <= server->last_end) {
       continue;
@@ -493,8 +493,7 @@
     const LiveRun& live = it.second;
     const Time sure_from =
         live.phase == RunPhase::kDoubt ? live.stop_answered : live.answered;
-    if (!listed.contains(it.first) && sure_from != kNever &&
-        sure_from < sent) {
+    if (!listed.contains(it.first) && sure_from != kNever && sure_from < sent) {
       gone.push_back(it.first);
     }
   }
@@ -551,8 +550,7 @@
                     Time now) {
   Job* job = nullptr;
   Step* step = nullptr;
-  if (row.figure > 0 || row.percent == 0 ||
-      live->phase != RunPhase::kRunning ||
+  if (row.figure > 0 || row.percent == 0 || live->phase != RunPhase::kRunning ||
       FindTask(row.run.task, &job, &step) == nullptr) {
     live->idle_since = kNever;
     return;
@@ -605,9 +603,8 @@
 
 void Cell::OnEnd(Server* server, const ListedEnd& end, Time now) {
   const auto live = server->runs.find(end.run);
-  const uint32_t ran_ms = live == server->runs.end()
-                              ? 0
-                              : AgeMs(live->second.sent, now);
+  const uint32_t ran_ms =
+      live == server->runs.end() ? 0 : AgeMs(live->second.sent, now);
   EraseRun(server, end.run);
   Job* job = nullptr;
   Step* step = nullptr;
@@ -735,8 +732,7 @@
 }
 
 void Cell::TaskFailed(Server* server, Job* job, const RunRef& run, Time now) {
-  Step& step =
-      job->occurrences.at(run.task.occurrence).steps[run.task.step];
+  Step& step = job->occurrences.at(run.task.occurrence).steps[run.task.step];
   Task& task = step.tasks[run.task.index];
   const StepSpec& spec = job->spec.steps[run.task.step];
   task.failed_on = server->entry.id;
@@ -762,9 +758,9 @@
   server->strikes += 1;
   if (server->strikes >= kStrikesToAvoid) {
     server->avoid_until = now + kAvoidFor;
-    LogEvent(Part::kPlacer, "backend_avoided",
-             {{"backend", server->entry.id.value},
-              {"strikes", server->strikes}});
+    LogEvent(
+        Part::kPlacer, "backend_avoided",
+        {{"backend", server->entry.id.value}, {"strikes", server->strikes}});
   }
 }
 
@@ -801,9 +797,8 @@
 /// A gang of which only a part was found running: the rest never started.
 void Cell::BreakPartialGang(Job* job, const StepRef& ref, Time now) {
   Step& step = job->occurrences.at(ref.occurrence).steps[ref.step];
-  const bool any_hidden =
-      std::any_of(step.tasks.begin(), step.tasks.end(),
-                  [](const Task& it) { return it.hidden; });
+  const bool any_hidden = std::any_of(step.tasks.begin(), step.tasks.end(),
+                                      [](const Task& it) { return it.hidden; });
   if (job->spec.steps[ref.step].gang && !any_hidden && step.live > 0 &&
       step.live + step.done < step.tasks.size()) {
     BreakGang(job, {ref.job, ref.occurrence, ref.step, 0}, now);
@@ -856,8 +851,7 @@
     }
     const StepSpec& spec = job->spec.steps[it.first.task.step];
     const uint64_t ran = AgeMs(live.answered, now);
-    const uint64_t to_go =
-        live.estimate_ms > ran ? live.estimate_ms - ran : 0;
+    const uint64_t to_go = live.estimate_ms > ran ? live.estimate_ms - ran : 0;
     const uint64_t slack = spec.checkpoint ? 0 : kEvacuateSlackMs;
     if (spec.perpetual || to_go > left + slack) {
       LogEvent(Part::kPlacer, "run_evacuated",
--- a/src/config_watch.cc
+++ b/src/config_watch.cc
@@ -40,21 +40,21 @@
 void ConfigWatch::ReadNewest(const std::string& after) {
   waiting_ = true;
   const Time sent = BootClock::now();
-  store_->Newest(OperatorPartition(), after,
-                 [this, sent](const platform::NewestAnswer& answer) {
-                   core_->PostWaiting(
-                       [this, answer, sent] { OnNewest(answer, sent); });
-                 });
+  store_->Newest(
+      OperatorPartition(), after,
+      [this, sent](const platform::NewestAnswer& answer) {
+        core_->PostWaiting([this, answer, sent] { OnNewest(answer, sent); });
+      });
 }
 
 void ConfigWatch::ReadTail() {
   waiting_ = true;
   const Time sent = BootClock::now();
-  store_->Read(OperatorPartition(), next_, kPoll,
-               [this, sent](const platform::ReadAnswer& answer) {
-                 core_->PostWaiting(
-                     [this, answer, sent] { OnTail(answer, sent); });
-               });
+  store_->Read(
+      OperatorPartition(), next_, kPoll,
+      [this, sent](const platform::ReadAnswer& answer) {
+        core_->PostWaiting([this, answer, sent] { OnTail(answer, sent); });
+      });
 }
 
 void ConfigWatch::OnNewest(const platform::NewestAnswer& answer, Time sent) {
--- a/src/config_watch_base.h
+++ b/src/config_watch_base.h
@@ -44,7 +44,7 @@
   Loop* const core_;
   std::function<void(const ConfigPtr&)> on_change_;
   ConfigPtr config_;
-  Time view_at_ = kNever;  ///< When the last answered read was sent.
+  Time view_at_ = kNever;      ///< When the last answered read was sent.
   Time newest_sent_ = kNever;  ///< When the first page was asked for.
   Offset next_ = 0;
   bool first_page_ = true;
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -25,12 +25,15 @@
       http_(net::MakeHttpClient(kConnectionsPerHost)),
       store_(platform::MakeHttpStore(options_.store, http_.get())),
       core_(
-          kCoreTick, kCoreGap, [this] { Tick(); },
+          kCoreTick,
+          kCoreGap,
+          [this] { Tick(); },
           [] { LogEvent(Part::kKernel, "process_was_held_up", {}); }),
       config_(store_.get(), &core_),
       membership_(options_.membership, store_.get(), &core_),
       advisor_(options_.advice, http_.get(), &core_),
-      owner_(options_.cell, options_.max_call_bytes,
+      owner_(options_.cell,
+             options_.max_call_bytes,
              {store_.get(), http_.get(), &core_, &membership_, &config_,
               &advisor_, &metrics_}),
       front_(options_.front,
@@ -48,9 +51,8 @@
   front_.SetMesh(mesh_.get());
   config_.Start(
       [this](const ConfigWatch::ConfigPtr& it) { owner_.OnConfig(it); });
-  membership_.Start(
-      [this](uint64_t generation) { owner_.OnGain(generation); },
-      [this] { owner_.OnLose(); });
+  membership_.Start([this](uint64_t generation) { owner_.OnGain(generation); },
+                    [this] { owner_.OnLose(); });
   core_.SetIdle([this] { owner_.Idle(BootClock::now()); });
   core_.Start();
   net::HttpServerOptions front;
@@ -71,8 +73,8 @@
     net::HttpServerOptions metrics;
     metrics.listen = options_.listen_metrics;
     metrics_server_ = std::make_unique<net::HttpServer>(
-        metrics, [this](const net::HttpRequest&,
-                        const net::Responder& respond) {
+        metrics,
+        [this](const net::HttpRequest&, const net::Responder& respond) {
           net::HttpResponse out;
           out.content_type = "text/plain; version=0.0.4";
           out.body = metrics_.ToText();
@@ -123,10 +125,9 @@
   metrics_.Set("bw_free_millicores", "",
                static_cast<double>(counts.free_millicores));
   metrics_.Set("bw_config_age_seconds", "", config_.ViewAgeMs(now) / 1000.0);
-  metrics_.Set("bw_config_version", "",
-               config_.Current()
-                   ? static_cast<double>(config_.Current()->version)
-                   : 0);
+  metrics_.Set(
+      "bw_config_version", "",
+      config_.Current() ? static_cast<double>(config_.Current()->version) : 0);
   metrics_.Set("bw_renewal_age_seconds", "",
                membership_.RenewalAgeMs(now) / 1000.0);
   metrics_.Set("bw_open_calls", "", static_cast<double>(front_.OpenCalls()));
@@ -171,22 +172,21 @@
 
 void Entry::AnswerAdvice(const proto::AdviceCall& call,
                          net::Mesh::Reply reply) {
-  advisor_.Ask(
-      call.step(), {call.backends().begin(), call.backends().end()},
-      milliseconds(call.wait_ms()),
-      [reply](const platform::AdviceAnswer& answer) {
-        proto::Envelope out;
-        auto* it = out.mutable_advice_reply();
-        it->set_answered(answer.answered);
-        it->set_overloaded(answer.overloaded);
-        it->set_valid_ms(answer.valid_ms);
-        for (const auto& row : answer.good) {
-          auto* ticket = it->add_good();
-          ticket->set_backend(row.backend.value);
-          ticket->set_text(row.text);
-        }
-        reply(out);
-      });
+  advisor_.Ask(call.step(), {call.backends().begin(), call.backends().end()},
+               milliseconds(call.wait_ms()),
+               [reply](const platform::AdviceAnswer& answer) {
+                 proto::Envelope out;
+                 auto* it = out.mutable_advice_reply();
+                 it->set_answered(answer.answered);
+                 it->set_overloaded(answer.overloaded);
+                 it->set_valid_ms(answer.valid_ms);
+                 for (const auto& row : answer.good) {
+                   auto* ticket = it->add_good();
+                   ticket->set_backend(row.backend.value);
+                   ticket->set_text(row.text);
+                 }
+                 reply(out);
+               });
 }
 
 void Entry::Drain() {
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -24,8 +24,7 @@
 /// lines and nothing else.
 class EventWriter {
  public:
-  EventWriter()
-      : thread_([this](const std::stop_token& stop) { Run(stop); }) {}
+  EventWriter() : thread_([this](const std::stop_token& stop) { Run(stop); }) {}
 
   ~EventWriter() {
     thread_.request_stop();
@@ -111,8 +110,8 @@
   fields["event"] = event;
   fields["part"] = PartName(part);
   fields["at_ms"] = ToMicros(now) / 1000;
-  writer.Write(fields.dump(-1, ' ', false,
-                           nlohmann::json::error_handler_t::replace));
+  writer.Write(
+      fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace bw
--- a/src/front.cc
+++ b/src/front.cc
@@ -63,15 +63,13 @@
   call->ingress = platform::ReadIngressCall(request);
   call->responder = std::move(responder);
   call->received = BootClock::now();
-  call->give_up =
-      call->received + call->ingress.wait -
-      std::min(kAnswerMargin, call->ingress.wait / kMarginPart);
+  call->give_up = call->received + call->ingress.wait -
+                  std::min(kAnswerMargin, call->ingress.wait / kMarginPart);
   ++open_;
   if (open_ > kMaxOpenCalls ||
       !parts_.core->Post([this, call] { Take(call); })) {
     --open_;
-    auto out =
-        platform::ErrorAnswer(kUnavailable, "overloaded", kRetryAfterMs);
+    auto out = platform::ErrorAnswer(kUnavailable, "overloaded", kRetryAfterMs);
     out.close = true;
     call->responder(std::move(out));
   }
@@ -100,8 +98,7 @@
 /// Checks queue, key and job name. @return False if the call was answered.
 bool Front::FillMessage(const CallPtr& call) {
   const auto& config = *parts_.config->Current();
-  const bool sure =
-      parts_.config->ViewAgeMs(BootClock::now()) < kSureViewMs;
+  const bool sure = parts_.config->ViewAgeMs(BootClock::now()) < kSureViewMs;
   const auto& in = call->ingress;
   const QueuePolicy* queue = platform::FindRoute(config, in.host, in.path);
   if (queue == nullptr) {
@@ -184,8 +181,8 @@
 void Front::SendOverMesh(const CallPtr& call, const std::string& owner) {
   proto::Envelope question;
   *question.mutable_cell_call() = call->message;
-  const auto left = std::chrono::duration_cast<milliseconds>(
-      call->give_up - BootClock::now());
+  const auto left = std::chrono::duration_cast<milliseconds>(call->give_up -
+                                                             BootClock::now());
   call->retry_at = kNever;
   mesh_->Ask(
       owner, std::move(question), std::clamp(left, kRetryPause, kOwnerTimeout),
@@ -211,8 +208,8 @@
   }
   parts_.membership->DoubtOwner();
   const Time now = BootClock::now();
-  const bool submit = call->message.kind() ==
-                      static_cast<uint32_t>(CellCallKind::kSubmit);
+  const bool submit =
+      call->message.kind() == static_cast<uint32_t>(CellCallKind::kSubmit);
   const milliseconds patience =
       submit && call->unknown_sends > 0 ? kUnknownWait : kOwnerWait;
   const bool give_up_early = now - call->received > patience;
@@ -225,11 +222,11 @@
 
 /// The last word on a call without an outcome: "not run" only if that is sure.
 void Front::GiveUp(const CallPtr& call, const char* why) {
-  const bool changes = call->message.kind() ==
-                           static_cast<uint32_t>(CellCallKind::kSubmit) ||
-                       call->message.kind() ==
-                           static_cast<uint32_t>(CellCallKind::kCancel);
-  Refuse(call, changes && call->unknown_sends > 0 ? kGatewayTimeout : kUnavailable,
+  const bool changes =
+      call->message.kind() == static_cast<uint32_t>(CellCallKind::kSubmit) ||
+      call->message.kind() == static_cast<uint32_t>(CellCallKind::kCancel);
+  Refuse(call,
+         changes && call->unknown_sends > 0 ? kGatewayTimeout : kUnavailable,
          why);
 }
 
@@ -303,12 +300,11 @@
               {"status", response.status},
               {"why", why},
               {"unknown_sends", call->unknown_sends},
-              {"view_age_ms",
-               parts_.config->ViewAgeMs(BootClock::now())},
+              {"view_age_ms", parts_.config->ViewAgeMs(BootClock::now())},
               {"after_ms", AgeMs(call->received, BootClock::now())}});
   }
-  parts_.metrics->Count(
-      "bw_calls_total", "status=\"" + std::to_string(response.status) + "\"");
+  parts_.metrics->Count("bw_calls_total",
+                        "status=\"" + std::to_string(response.status) + "\"");
   call->responder(std::move(response));
   --open_;
 }
--- a/src/front_base.h
+++ b/src/front_base.h
@@ -61,7 +61,7 @@
     proto::CellCall message;
     net::Responder responder;
     Time received;
-    Time give_up;       ///< The caller is answered by then.
+    Time give_up;  ///< The caller is answered by then.
     Time retry_at = kNever;
     uint32_t unknown_sends = 0;  ///< Some owner may have taken it.
     bool done = false;
@@ -75,8 +75,7 @@
   void OnOutcome(const CallPtr& call, const CellOutcome& outcome);
   void RetryLater(const CallPtr& call, const char* why);
   void GiveUp(const CallPtr& call, const char* why);
-  void Answer(const CallPtr& call, net::HttpResponse response,
-              const char* why);
+  void Answer(const CallPtr& call, net::HttpResponse response, const char* why);
   void Refuse(const CallPtr& call, int status, const char* why);
   bool IsClosing(Time now) const { return ToMicros(now) >= refuse_at_us_; }
 
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -79,8 +79,7 @@
       joins_in_flight_ < kMaxJoinsInFlight) {
     SendJoin(now);
   }
-  const Time due =
-      owner_asked_ + (owner_doubted_ ? kOwnerPause : kOwnerEvery);
+  const Time due = owner_asked_ + (owner_doubted_ ? kOwnerPause : kOwnerEvery);
   const bool stands = role_ == Role::kStanding && now >= stand_at_;
   if (!asking_owner_ && (stands || now >= due)) {
     AskOwner(now);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -15,7 +15,7 @@
 
 constexpr size_t kMaxAnswerBytes = 16U << 20;
 constexpr size_t kCallRingSize = 16'384;
-constexpr int kIdleWaitMs = 1000;  ///< Calls and bytes wake it earlier.
+constexpr int kIdleWaitMs = 1000;        ///< Calls and bytes wake it earlier.
 constexpr long kOpenConnections = 1024;  ///< Kept open for later calls.
 
 /// One call under way: the easy handle and the buffers it points to.
--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -22,7 +22,7 @@
 constexpr int kHeartbeatTimeoutMs = 3000;
 constexpr int kReconnectMs = 100;
 constexpr int64_t kMaxMessageBytes = 32LL << 20;
-constexpr milliseconds kTick{50};       ///< While questions are open.
+constexpr milliseconds kTick{50};        ///< While questions are open.
 constexpr milliseconds kIdleTick{1000};  ///< Otherwise; bytes wake it earlier.
 
 /// A message waiting for the mesh's thread.
--- a/src/order.cc
+++ b/src/order.cc
@@ -38,9 +38,9 @@
 
 Objective ObjectiveOf(const QueuePolicy& queue, uint64_t chain_ms) {
   Objective out;
-  out.in_time_ms = static_cast<uint64_t>(queue.stretch *
-                                         static_cast<double>(chain_ms)) +
-                   queue.target_latency_ms;
+  out.in_time_ms =
+      static_cast<uint64_t>(queue.stretch * static_cast<double>(chain_ms)) +
+      queue.target_latency_ms;
   out.late_ms = kLateFactor * out.in_time_ms;
   return out;
 }
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -62,15 +62,15 @@
   options.fencing_token = epoch_;
   options.wall_ms = wall_.Read(gained_at_);
   cell_ = std::make_unique<Cell>(options, static_cast<CellPort*>(this));
-  log_ = std::make_unique<RecordLog>(
-      parts_.store, parts_.core, epoch_, max_call_bytes_, [this] {
-        const uint64_t tenure = tenure_;
-        parts_.core->Post([this, tenure] {
-          if (tenure == tenure_) {
-            OnFenced();
-          }
-        });
-      });
+  log_ = std::make_unique<RecordLog>(parts_.store, parts_.core, epoch_,
+                                     max_call_bytes_, [this] {
+                                       const uint64_t tenure = tenure_;
+                                       parts_.core->Post([this, tenure] {
+                                         if (tenure == tenure_) {
+                                           OnFenced();
+                                         }
+                                       });
+                                     });
   if (parts_.config->Current()) {
     cell_->SetConfig(parts_.config->Current());
   }
@@ -341,8 +341,8 @@
   AdviceChannel* best = nullptr;
   for (size_t n = 0; n < members.size(); ++n) {
     // Long questions go to the first ones, quick ones rather to the last.
-    const std::string& name = is_long ? members[n]
-                                      : members[members.size() - 1 - n];
+    const std::string& name =
+        is_long ? members[n] : members[members.size() - 1 - n];
     AdviceChannel& it = channels_[name];
     if ((is_long && n >= usable) || it.avoid_until > now) {
       continue;
@@ -379,14 +379,14 @@
     names.push_back(it.value);
   }
   if (parts_.membership->IsSelf(to)) {
-    parts_.advisor->Ask(
-        platform::StepName(step), std::move(names), give_up,
-        [this, tenure = tenure_, step,
-         backends](const platform::AdviceAnswer& answer) {
-          if (tenure == tenure_) {
-            cell_->OnAdvice(step, backends, answer, BootClock::now());
-          }
-        });
+    parts_.advisor->Ask(platform::StepName(step), std::move(names), give_up,
+                        [this, tenure = tenure_, step,
+                         backends](const platform::AdviceAnswer& answer) {
+                          if (tenure == tenure_) {
+                            cell_->OnAdvice(step, backends, answer,
+                                            BootClock::now());
+                          }
+                        });
     return true;
   }
   proto::Envelope question;
--- a/src/platform/ingress.cc
+++ b/src/platform/ingress.cc
@@ -87,8 +87,7 @@
   const QueuePolicy* best = nullptr;
   for (const auto& it : config.queues) {
     if (it.host == host && path.starts_with(it.path_prefix) &&
-        (best == nullptr ||
-         it.path_prefix.size() > best->path_prefix.size())) {
+        (best == nullptr || it.path_prefix.size() > best->path_prefix.size())) {
       best = &it;
     }
   }
--- a/src/platform/store.cc
+++ b/src/platform/store.cc
@@ -166,9 +166,8 @@
     for (const json& it : ListOf(body, field)) {
       if (it.is_array() && it.size() >= 3 && it[0].is_string() &&
           it[1].is_number_unsigned() && it[2].is_string()) {
-        out.owners.push_back(
-            {{it[0].get<std::string>(), it[1].get<uint32_t>()},
-             it[2].get<std::string>()});
+        out.owners.push_back({{it[0].get<std::string>(), it[1].get<uint32_t>()},
+                              it[2].get<std::string>()});
       }
     }
   }
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -87,8 +87,8 @@
                           batch.records.end());
   }
   store_->Append(std::move(append), kAppendTimeout,
-                 [this, core = core_, alive = alive_](
-                     const platform::AppendAnswer& answer) {
+                 [this, core = core_,
+                  alive = alive_](const platform::AppendAnswer& answer) {
                    core->PostWaiting([this, alive, answer] {
                      if (*alive) {
                        OnAnswer(answer);
--- a/src/wall_clock_base.h
+++ b/src/wall_clock_base.h
@@ -32,9 +32,9 @@
 
   uint64_t Read(Time now) {
     const auto since = std::chrono::system_clock::now().time_since_epoch();
-    return Read(now, static_cast<uint64_t>(
-                         std::chrono::duration_cast<milliseconds>(since)
-                             .count()));
+    return Read(now,
+                static_cast<uint64_t>(
+                    std::chrono::duration_cast<milliseconds>(since).count()));
   }
 
  private:
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -313,9 +313,8 @@
   for (int n = 0; n < kFull; ++n) {
     it.Submit(small(n), CellBench::Tasks(1, 1000));
   }
-  it.Submit(kJob,
-            R"({"spec":"x","steps":[{"count":2,"cpu":8000,"memMb":100,)"
-            R"("estimateMs":4000,"gang":true}]})");
+  it.Submit(kJob, R"({"spec":"x","steps":[{"count":2,"cpu":8000,"memMb":100,)"
+                  R"("estimateMs":4000,"gang":true}]})");
   for (int n = 0; n < kMore; ++n) {
     it.Submit(small(kFull + n), CellBench::Tasks(1, 1000));
     const auto run = it.Find(First(small(n).c_str()));
@@ -368,9 +367,8 @@
 // Load: members of a gang end at different times and wait for the last one.
 TEST(Cell, GangMemberThatIsDoneIsNotTakenAsStandingStill) {
   CellBench it(1);
-  it.Submit(kJob,
-            R"({"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":100,)"
-            R"("estimateMs":6000,"gang":true}]})");
+  it.Submit(kJob, R"({"spec":"x","steps":[{"count":2,"cpu":1000,"memMb":100,)"
+                  R"("estimateMs":6000,"gang":true}]})");
   it.Pass(4000);
   const auto run = it.Find(First(kJob));
   it.backends.at(run->first).idle_runs.insert(run->second);
@@ -426,10 +424,8 @@
 
 TEST(Cell, WorkThatWouldOutlastALeavingBackendServerMoves) {
   CellBench it(2);
-  it.Submit(kJob,
-            R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":6000}]})");
-  it.Submit(kOther,
-            R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":900}]})");
+  it.Submit(kJob, R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":6000}]})");
+  it.Submit(kOther, R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":900}]})");
   const auto run = it.Find(First(kJob));
   auto leaving = it.backends.at(run->first).entry;
   leaving.draining = true;
@@ -455,10 +451,10 @@
 
 TEST(Cell, OccurrencesStartAtTheirTimes) {
   CellBench it(2);
-  const std::string body =
-      R"({"spec":"x","startAtMs":)" + std::to_string(it.wall_ms + 500) +
-      R"(,"repeatCount":2,"intervalMs":1000,)"
-      R"("steps":[{"cpu":1000,"estimateMs":100}]})";
+  const std::string body = R"({"spec":"x","startAtMs":)" +
+                           std::to_string(it.wall_ms + 500) +
+                           R"(,"repeatCount":2,"intervalMs":1000,)"
+                           R"("steps":[{"cpu":1000,"estimateMs":100}]})";
   it.Submit(kJob, body);
   it.Pass(400);
   CHECK_EQUAL(0, it.Running(First(kJob)));
--- a/test/support/cell_bench.h
+++ b/test/support/cell_bench.h
@@ -22,7 +22,7 @@
   uint64_t lease_end_ms = 0;
   uint64_t last_end = 0;
   bool reachable = true;
-  std::set<RunRef> idle_runs;  ///< Use no processor time.
+  std::set<RunRef> idle_runs;             ///< Use no processor time.
   std::map<RunRef, std::string> running;  ///< With the checkpoint.
   std::map<RunRef, uint64_t> stopped;     ///< Runs that may not start.
   std::vector<ListedEnd> ended;
@@ -225,8 +225,8 @@
     for (auto& it : stops) {
       stop_log.push_back(it);
       FakeBackend& backend = backends.at(it.first);
-      const auto verdict = backend.reachable ? backend.Stop(it.second)
-                                             : OrderVerdict::kUnknown;
+      const auto verdict =
+          backend.reachable ? backend.Stop(it.second) : OrderVerdict::kUnknown;
       cell->OnStopAnswer(it.first, it.second, verdict, now);
     }
     auto holds = std::move(port.holds);
