Feature: [Test] Entry instances as real processes on a stand-in of the platform

bwfakeplatform serves the store in memory, backend servers and advice; eleven tests kill, freeze and cut bwentry and audit every run.

--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -568,6 +568,8 @@
               {"done", step.done},
               {"live", step.live},
               {"why", step.why},
+              {"label", job->second.spec.steps[ref.step].label},
+              {"rack", job->second.spec.steps[ref.step].rack},
               {"good", step.advice.good.size()},
               {"bad", step.advice.bad.size()},
               {"breaking", step.breaking},
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -78,7 +78,7 @@
               {"incarnation", entry.incarnation},
               {"draining", entry.draining},
               {"millicores", entry.capacity.millicores},
-              {"rack", entry.rack}});
+              {"labels", entry.labels}});
   }
   const bool same = server.kept && entry.address == server.entry.address &&
                     entry.capacity == server.entry.capacity && !reborn;
--- /dev/null
+++ b/src/fake/bwfakeplatform.cc
@@ -0,0 +1,593 @@
+// bwfakeplatform: stand-in for the users' platform: its store on the first
+// port, with the advice service, and backend servers on the ports after it.
+// The wire is that of src/platform; besides:
+//
+//   POST /control  {"mood":"well|refuses|loses|silent"}   the store
+//                  {"crash":N} | {"silent":N,"on":b}      backend server N
+//                  {"config":{...}}                       the operator
+//   GET  /truth    every run: task, run, backend, began_ms, ended_ms, how
+//
+// A task whose text holds "ms=N" is done after N ms; others run until stopped.
+
+#include <algorithm>
+#include <charconv>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <vector>
+
+#include "../net/http_server.h"
+#include "../platform/configuration.h"
+#include "../process_func.h"
+#include "../text_func.h"
+#include "alarm.h"
+#include "fake_settings.h"
+#include "memory_store.h"
+
+namespace bw::fake {
+namespace {
+
+using Json = nlohmann::json;
+using platform::StoreStatus;
+
+constexpr int kBackendCpu = 8000;
+constexpr int kBackendMemoryMb = 16'000;
+constexpr uint64_t kHoldMaxMs = 10'000;
+constexpr milliseconds kBeat{500};
+constexpr milliseconds kTick{10};
+
+uint64_t Number(const net::HttpRequest& request, const char* name) {
+  const std::string text = request.Query(name);
+  uint64_t n = 0;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
+std::string BigEndian(uint64_t n, int bytes) {
+  std::string out;
+  for (int shift = 8 * (bytes - 1); shift >= 0; shift -= 8) {
+    out.push_back(static_cast<char>((n >> shift) & 0xff));
+  }
+  return out;
+}
+
+int HttpStatusOf(StoreStatus status) {
+  switch (status) {
+    case StoreStatus::kOk:
+      return 200;
+    case StoreStatus::kFenced:
+    case StoreStatus::kOutOfOrder:
+      return 409;
+    case StoreStatus::kExpired:
+      return 410;
+    default:
+      return 503;
+  }
+}
+
+net::HttpResponse Answer(int status, const Json& body) {
+  net::HttpResponse out;
+  out.status = status;
+  out.body = body.dump();
+  return out;
+}
+
+/// What really ran.
+struct Truth {
+  std::string task;
+  uint64_t run = 0;
+  std::string backend;
+  uint64_t began_ms = 0;
+  uint64_t ended_ms = 0;
+  std::string how;
+};
+
+/// The store over HTTP, with terms of members. Guarded by its own mutex.
+class StoreServer {
+ public:
+  void Serve(const net::HttpRequest& request, const net::Responder& respond) {
+    std::lock_guard lock(mutex_);
+    const std::string name = request.path.substr(request.path.rfind('/') + 1);
+    const platform::Partition partition{
+        request.Query("topic"), static_cast<uint32_t>(Number(request, "part"))};
+    const Json body = Json::parse(request.body, nullptr, false);
+    if (name == "log-append") {
+      Append(request, partition, respond);
+    } else if (name == "log-read") {
+      Read(request, partition, respond);
+    } else if (name == "log-newest") {
+      Newest(partition, respond);
+    } else if (name == "log-join") {
+      Join(body, respond);
+    } else if (name == "log-leave") {
+      store_.Leave(body.value("group", ""), body.value("member", ""),
+                   [&](StoreStatus it) { Reply(it, Json::object(), respond); });
+      store_.AnswerAll();
+    } else if (name == "log-owners") {
+      Owners(request, respond);
+    } else {
+      respond(Answer(404, Json::object()));
+    }
+  }
+
+  void Put(const std::string& topic,
+           const std::string& key,
+           const std::string& value) {
+    std::lock_guard lock(mutex_);
+    store_.Put({topic, 0}, key, value);
+  }
+
+  void SetMood(MemoryStore::Mood mood) {
+    std::lock_guard lock(mutex_);
+    store_.mood = mood;
+  }
+
+  /// Ends terms and long reads. Called every few milliseconds.
+  void Tick() {
+    std::lock_guard lock(mutex_);
+    const uint64_t now = NowMs();
+    for (auto it = terms_.begin(); it != terms_.end();) {
+      if (now > it->second && store_.mood == MemoryStore::Mood::kWell) {
+        store_.Expire(it->first.first, it->first.second);
+        it = terms_.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    std::vector<LongRead> waiting = std::move(reads_);
+    reads_.clear();
+    for (auto& it : waiting) {
+      FinishRead(std::move(it), now);
+    }
+  }
+
+ private:
+  struct LongRead {
+    platform::Partition partition;
+    Offset from = 0;
+    uint64_t until_ms = 0;
+    net::Responder respond;
+  };
+
+  /// No status means no answer.
+  static void Reply(StoreStatus status,
+                    const Json& body,
+                    const net::Responder& respond) {
+    if (status != StoreStatus::kUnknown) {
+      respond(Answer(HttpStatusOf(status), body));
+    }
+  }
+
+  void Append(const net::HttpRequest& request,
+              const platform::Partition& partition,
+              const net::Responder& respond) {
+    platform::StoreAppend append;
+    append.partition = partition;
+    append.producer = request.Query("producer");
+    append.epoch = Number(request, "epoch");
+    append.sequence = Number(request, "sequence");
+    for (size_t at = 0; at + 4 <= request.body.size();) {
+      size_t length = 0;
+      for (int n = 0; n < 4; ++n) {
+        length =
+            (length << 8) | static_cast<unsigned char>(request.body[at + n]);
+      }
+      append.records.push_back(request.body.substr(at + 4, length));
+      at += 4 + length;
+    }
+    store_.Append(std::move(append), milliseconds(0),
+                  [&](const platform::AppendAnswer& it) {
+                    const bool order = it.status == StoreStatus::kOutOfOrder;
+                    Reply(it.status,
+                          {{"offset", it.offset},
+                           {"end", it.end},
+                           {"reason", order ? "seq" : "fenced"},
+                           {"sequence", it.expected_sequence}},
+                          respond);
+                  });
+    store_.AnswerAll();
+  }
+
+  void Read(const net::HttpRequest& request,
+            const platform::Partition& partition,
+            const net::Responder& respond) {
+    FinishRead({partition, Number(request, "from"),
+                NowMs() + Number(request, "waitMs"), respond},
+               NowMs());
+  }
+
+  void FinishRead(LongRead read, uint64_t now) {
+    store_.Read(read.partition, read.from, milliseconds(0),
+                [&](const platform::ReadAnswer& it) {
+                  if (it.status == StoreStatus::kOk && it.records.empty() &&
+                      now < read.until_ms) {
+                    reads_.push_back(std::move(read));
+                    return;
+                  }
+                  net::HttpResponse out;
+                  out.status = HttpStatusOf(it.status);
+                  out.content_type = "application/octet-stream";
+                  out.body = BigEndian(it.end, 8) + BigEndian(it.first, 8);
+                  for (const auto& record : it.records) {
+                    out.body += BigEndian(record.size(), 4) + record;
+                  }
+                  if (it.status != StoreStatus::kUnknown) {
+                    read.respond(out);
+                  }
+                });
+    store_.AnswerAll();
+  }
+
+  void Newest(const platform::Partition& partition,
+              const net::Responder& respond) {
+    store_.Newest(partition, "", [&](const platform::NewestAnswer& it) {
+      Json items = Json::array();
+      for (const auto& record : it.records) {
+        if (!record.value.empty()) {
+          items.push_back({{"key", record.key},
+                           {"value", ToBase64(record.value)},
+                           {"offset", 0}});
+        }
+      }
+      Reply(it.status, {{"items", items}, {"more", false}, {"end", it.end}},
+            respond);
+    });
+    store_.AnswerAll();
+  }
+
+  void Join(const Json& body, const net::Responder& respond) {
+    const platform::GroupMember member{
+        body.value("group", ""), body.value("member", ""),
+        body.value("topics", Json::array()).at(0).get<std::string>(),
+        body.value("ttlMs", 0U), body.value("generation", uint64_t{0})};
+    store_.Join(member, [&](const platform::JoinAnswer& it) {
+      Json parts = Json::array();
+      for (const auto& part : it.partitions) {
+        parts.push_back({part.topic, part.number, 0});
+      }
+      if (it.status == StoreStatus::kOk) {
+        terms_[{member.group, member.member}] = NowMs() + member.ttl_ms;
+      }
+      Reply(it.status, {{"generation", it.generation}, {"parts", parts}},
+            respond);
+    });
+    store_.AnswerAll();
+  }
+
+  void Owners(const net::HttpRequest& request, const net::Responder& respond) {
+    store_.Owners(
+        request.Query("group"), [&](const platform::OwnersAnswer& it) {
+          Json parts = Json::array();
+          for (const auto& row : it.owners) {
+            parts.push_back(
+                {row.partition.topic, row.partition.number, row.member, 0});
+          }
+          Reply(it.status, {{"parts", parts}}, respond);
+        });
+    store_.AnswerAll();
+  }
+
+  std::mutex mutex_;
+  MemoryStore store_;
+  std::map<std::pair<std::string, std::string>, uint64_t> terms_;
+  std::vector<LongRead> reads_;
+};
+
+/// One backend server. Guarded by its own mutex.
+class Backend {
+ public:
+  Backend(std::string id, std::string address, StoreServer* store)
+      : id_(std::move(id)), address_(std::move(address)), store_(store) {}
+
+  void Serve(const net::HttpRequest& request, const net::Responder& respond) {
+    std::lock_guard lock(mutex_);
+    if (silent_) {
+      return;
+    }
+    const std::string name = request.path.substr(request.path.rfind('/') + 1);
+    const Json body = Json::parse(request.body, nullptr, false);
+    if (!body.is_object()) {
+      return respond(Answer(400, Json::object()));
+    }
+    const uint64_t token = body.value("fencingToken", uint64_t{0});
+    if (token < token_) {
+      return Refuse("fence", respond);
+    }
+    token_ = token;
+    if (name == "run-start") {
+      Start(body, respond);
+    } else if (name == "run-stop") {
+      Stop(body, respond);
+    } else if (name == "hold") {
+      Hold(body, respond);
+    } else {
+      respond(Answer(404, Json::object()));
+    }
+  }
+
+  void Crash() {
+    std::lock_guard lock(mutex_);
+    while (!running_.empty()) {
+      End(running_.begin()->first, "crashed");
+    }
+    ended_.clear();
+    last_end_ = 0;
+    token_ = 0;
+    lease_end_ms_ = 0;
+    over_.clear();
+    born_ = NowMs();
+  }
+
+  void SetSilent(bool on) {
+    std::lock_guard lock(mutex_);
+    silent_ = on;
+  }
+
+  void Tick() {
+    std::lock_guard lock(mutex_);
+    const uint64_t now = NowMs();
+    std::vector<std::pair<std::string, const char*>> over;
+    for (const auto& it : running_) {
+      if (now > lease_end_ms_) {
+        over.emplace_back(it.first, "lapsed");
+      } else if (it.second.done_ms != 0 && now >= it.second.done_ms) {
+        over.emplace_back(it.first, "done");
+      }
+    }
+    for (const auto& it : over) {
+      End(it.first, it.second);
+    }
+    auto holds = std::move(holds_);
+    holds_.clear();
+    for (auto& it : holds) {
+      FinishHold(std::move(it), now);
+    }
+  }
+
+  void Announce() {
+    std::lock_guard lock(mutex_);
+    const Json entry = {
+        {"service", "s"},
+        {"address", address_},
+        {"zone", "a"},
+        {"state", "ready"},
+        {"sequence", ++beats_},
+        {"born", born_},
+        {"labels", {"a", "r1"}},
+        {"capacity",
+         {{"cpu", kBackendCpu}, {"memMb", kBackendMemoryMb}, {"gpu", 0}}}};
+    store_->Put(platform::kBackendTopic, id_, entry.dump());
+  }
+
+  void AddTruth(Json* out) {
+    std::lock_guard lock(mutex_);
+    for (const auto& it : truth_) {
+      out->push_back({{"task", it.task},
+                      {"run", it.run},
+                      {"backend", id_},
+                      {"began_ms", it.began_ms},
+                      {"ended_ms", it.ended_ms},
+                      {"how", it.how}});
+    }
+  }
+
+ private:
+  struct Running {
+    uint64_t run = 0;
+    uint64_t done_ms = 0;
+    size_t truth = 0;
+  };
+  struct LongHold {
+    uint64_t until_ms = 0;
+    net::Responder respond;
+  };
+
+  static void Refuse(const char* reason, const net::Responder& respond) {
+    respond(Answer(409, {{"clockMs", NowMs()}, {"reason", reason}}));
+  }
+
+  void Extend(const Json& body) {
+    const uint64_t wanted = body.value("deadlineMs", uint64_t{0});
+    lease_end_ms_ =
+        std::max(lease_end_ms_, std::min(wanted, NowMs() + kHoldMaxMs));
+  }
+
+  void Start(const Json& body, const net::Responder& respond) {
+    const std::string task = body.value("task", "");
+    const uint64_t run = body.value("run", uint64_t{0});
+    if (body.value("deadlineMs", uint64_t{0}) < NowMs()) {
+      return Refuse("late", respond);
+    }
+    Extend(body);
+    if (over_.contains(task) && over_[task] >= run) {
+      return Refuse("old", respond);
+    }
+    if (!running_.contains(task)) {
+      const std::string spec = body.value("spec", "");
+      uint64_t ms = 0;
+      if (const auto n = spec.find("ms="); n != std::string::npos) {
+        std::from_chars(spec.data() + n + 3, spec.data() + spec.size(), ms);
+      }
+      running_[task] = {run, ms == 0 ? 0 : NowMs() + ms, truth_.size()};
+      truth_.push_back({task, run, id_, NowMs(), 0, ""});
+    }
+    respond(Answer(200, {{"clockMs", NowMs()}}));
+  }
+
+  void Stop(const Json& body, const net::Responder& respond) {
+    const std::string task = body.value("task", "");
+    over_[task] = std::max(over_[task], body.value("run", uint64_t{0}));
+    if (running_.contains(task)) {
+      End(task, "stopped");
+    }
+    respond(Answer(200, {{"clockMs", NowMs()}}));
+  }
+
+  void Hold(const Json& body, const net::Responder& respond) {
+    Extend(body);
+    const uint64_t acknowledged = body.value("ackCursor", uint64_t{0});
+    std::erase_if(ended_, [&](const Json& it) {
+      return it[0].get<uint64_t>() <= acknowledged;
+    });
+    FinishHold({NowMs() + body.value("waitMs", uint64_t{0}), respond}, NowMs());
+  }
+
+  void FinishHold(LongHold hold, uint64_t now) {
+    if (ended_.empty() && now < hold.until_ms) {
+      holds_.push_back(std::move(hold));
+      return;
+    }
+    Json running = Json::array();
+    for (const auto& it : running_) {
+      running.push_back({it.first, it.second.run, "", 100, 1000});
+    }
+    hold.respond(Answer(200, {{"clockMs", now},
+                              {"born", born_},
+                              {"running", running},
+                              {"ended", ended_}}));
+  }
+
+  void End(const std::string& task, const char* how) {
+    const Running run = running_.at(task);
+    running_.erase(task);
+    over_[task] = std::max(over_[task], run.run);
+    truth_[run.truth].ended_ms = NowMs();
+    truth_[run.truth].how = how;
+    ended_.push_back(Json::array({++last_end_, task, run.run, how, ""}));
+  }
+
+  const std::string id_;
+  const std::string address_;
+  StoreServer* const store_;
+  std::mutex mutex_;
+  bool silent_ = false;
+  uint64_t born_ = NowMs();
+  uint64_t beats_ = 0;
+  uint64_t token_ = 0;
+  uint64_t lease_end_ms_ = 0;
+  uint64_t last_end_ = 0;
+  std::map<std::string, Running> running_;
+  std::map<std::string, uint64_t> over_;  ///< Highest run ended or stopped.
+  std::vector<Json> ended_;
+  std::vector<LongHold> holds_;
+  std::vector<Truth> truth_;
+};
+
+/// Everything of this process.
+class Platform {
+ public:
+  Platform(const std::string& listen, int64_t count) {
+    const HostPort first = SplitAddress(listen);
+    for (int64_t n = 0; n < count; ++n) {
+      const std::string address =
+          first.host + ":" + std::to_string(first.port + 1 + n);
+      backends_.push_back(
+          std::make_unique<Backend>("b" + std::to_string(n), address, &store_));
+      net::HttpServerOptions options;
+      options.listen = address;
+      servers_.push_back(std::make_unique<net::HttpServer>(
+          options,
+          [it = backends_.back().get()](const net::HttpRequest& request,
+                                        const net::Responder& respond) {
+            it->Serve(request, respond);
+          }));
+    }
+    net::HttpServerOptions options;
+    options.listen = listen;
+    servers_.push_back(std::make_unique<net::HttpServer>(
+        options,
+        [this](const net::HttpRequest& request, const net::Responder& respond) {
+          Serve(request, respond);
+        }));
+    Tick();
+    Announce();
+  }
+
+ private:
+  void Serve(const net::HttpRequest& request, const net::Responder& respond) {
+    if (request.path == "/control") {
+      Control(Json::parse(request.body, nullptr, false));
+      respond(Answer(200, Json::object()));
+    } else if (request.path == "/truth") {
+      Json out = Json::array();
+      for (auto& it : backends_) {
+        it->AddTruth(&out);
+      }
+      respond(Answer(200, out));
+    } else if (request.path == "/v1/advise") {
+      Json good = Json::array();
+      const Json body = Json::parse(request.body, nullptr, false);
+      for (const auto& it : body.value("workers", Json::array())) {
+        good.push_back({it, "ticket"});
+      }
+      respond(Answer(200, {{"good", good}, {"validMs", 2000}}));
+    } else {
+      store_.Serve(request, respond);
+    }
+  }
+
+  void Control(const Json& body) {
+    static const std::map<std::string, MemoryStore::Mood> moods = {
+        {"well", MemoryStore::Mood::kWell},
+        {"refuses", MemoryStore::Mood::kRefuses},
+        {"loses", MemoryStore::Mood::kLoses},
+        {"silent", MemoryStore::Mood::kSilent}};
+    if (auto it = moods.find(body.value("mood", "")); it != moods.end()) {
+      store_.SetMood(it->second);
+    }
+    if (body.contains("config")) {
+      store_.Put(platform::kOperatorTopic, platform::kConfigKey,
+                 body["config"].dump());
+    }
+    if (body.contains("crash")) {
+      backends_.at(body["crash"].get<size_t>())->Crash();
+    }
+    if (body.contains("silent")) {
+      backends_.at(body["silent"].get<size_t>())
+          ->SetSilent(body.value("on", true));
+    }
+  }
+
+  void Tick() {
+    store_.Tick();
+    for (auto& it : backends_) {
+      it->Tick();
+    }
+    alarm_.At(BootClock::now() + kTick, [this] { Tick(); });
+  }
+
+  void Announce() {
+    for (auto& it : backends_) {
+      it->Announce();
+    }
+    alarm_.At(BootClock::now() + kBeat, [this] { Announce(); });
+  }
+
+  StoreServer store_;
+  std::vector<std::unique_ptr<Backend>> backends_;
+  std::vector<std::unique_ptr<net::HttpServer>> servers_;
+  Alarm alarm_;
+};
+
+int Main(int argc, const char** argv) {
+  int exit_code = 0;
+  auto line = ReadCommandLine(argc, argv, "[OPTION...]", kPlatformSettings, {},
+                              &exit_code);
+  if (!line) {
+    return exit_code;
+  }
+  BlockSignals();
+  Platform platform(line->settings.Text("fake.listen"),
+                    line->settings.Int("fake.count"));
+  WaitForStop();
+  return 0;
+}
+
+}  // namespace
+}  // namespace bw::fake
+
+int main(int argc, const char** argv) {
+  return bw::RunMain(bw::fake::Main, argc, argv);
+}
--- a/src/fake/fake_settings.h
+++ b/src/fake/fake_settings.h
@@ -19,6 +19,9 @@
 
 inline constexpr SettingDesc kServerSettings[] = {table::kLogLevels, kListen};
 
+inline constexpr SettingDesc kPlatformSettings[] = {table::kLogLevels, kListen,
+                                                    kCount};
+
 inline constexpr SettingDesc kRunnerSettings[] = {
     table::kLogLevels,
     kListen,
--- a/test/support/fake_store.h
+++ b/src/fake/memory_store.h
@@ -1,5 +1,6 @@
 // The platform's store in memory: fenced appends, kept keys, and groups with
-// terms. Answers when the test says so. One for all unit tests.
+// terms. Answers when the test says so. Unit tests use it as it is;
+// bwfakeplatform serves it over HTTP.
 #pragma once
 
 #include <algorithm>
@@ -10,20 +11,20 @@
 #include <utility>
 #include <vector>
 
-#include "../../src/platform/store.h"
+#include "../platform/store.h"
 
-namespace bw::test {
+namespace bw::fake {
 
-class FakeStore : public platform::Store {
+class MemoryStore : public platform::Store {
  public:
   using Status = platform::StoreStatus;
 
   /// How the next calls go.
   enum class Mood : uint8_t {
     kWell,
-    kRefuses,    ///< 503: nothing is done.
-    kLoses,      ///< Done, but not answered.
-    kSilent,     ///< Not done and not answered.
+    kRefuses,  ///< 503: nothing is done.
+    kLoses,    ///< Done, but not answered.
+    kSilent,   ///< Not done and not answered.
   };
 
   void Append(platform::StoreAppend append,
@@ -210,4 +211,4 @@
   }
 };
 
-}  // namespace bw::test
+}  // namespace bw::fake
--- a/src/platform/store.cc
+++ b/src/platform/store.cc
@@ -1,12 +1,11 @@
 #include "store.h"
 
 #include <fmt/format.h>
-#include <sodium.h>
 
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "../log_func.h"
+#include "../text_func.h"
 #include "json_func.h"
 
 namespace bw::platform {
@@ -85,18 +84,6 @@
   return out;
 }
 
-std::string DecodeBase64(const std::string& text) {
-  std::string out(text.size(), '\0');
-  size_t length = 0;
-  if (sodium_base642bin(reinterpret_cast<unsigned char*>(out.data()),
-                        out.size(), text.data(), text.size(), nullptr, &length,
-                        nullptr, sodium_base64_VARIANT_ORIGINAL) != 0) {
-    return {};
-  }
-  out.resize(length);
-  return out;
-}
-
 AppendAnswer ToAppendAnswer(const net::HttpResult& result) {
   AppendAnswer out;
   out.status = StatusOf(result);
@@ -137,7 +124,7 @@
   out.more = FlagOf(body, "more");
   out.end = NumberOf(body, "end").value_or(0);
   for (const json& it : ListOf(body, "items")) {
-    out.records.push_back({TextOf(it, "key"), DecodeBase64(TextOf(it, "value")),
+    out.records.push_back({TextOf(it, "key"), FromBase64(TextOf(it, "value")),
                            NumberOf(it, "offset").value_or(0)});
   }
   return out;
--- a/src/text.cc
+++ b/src/text.cc
@@ -52,6 +52,29 @@
          });
 }
 
+std::string ToBase64(std::string_view bytes) {
+  std::string out(
+      sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
+      '\0');
+  sodium_bin2base64(out.data(), out.size(),
+                    reinterpret_cast<const unsigned char*>(bytes.data()),
+                    bytes.size(), sodium_base64_VARIANT_ORIGINAL);
+  out.resize(out.empty() ? 0 : out.size() - 1);  // Without the final zero.
+  return out;
+}
+
+std::string FromBase64(std::string_view text) {
+  std::string out(text.size(), '\0');
+  size_t length = 0;
+  if (sodium_base642bin(reinterpret_cast<unsigned char*>(out.data()),
+                        out.size(), text.data(), text.size(), nullptr, &length,
+                        nullptr, sodium_base64_VARIANT_ORIGINAL) != 0) {
+    return {};
+  }
+  out.resize(length);
+  return out;
+}
+
 std::string HashKey(std::string_view secret) {
   unsigned char digest[crypto_hash_sha256_BYTES];
   crypto_hash_sha256(digest,
--- a/src/text_func.h
+++ b/src/text_func.h
@@ -26,6 +26,12 @@
 /// @return True if `text` is 1 to 64 of a-z A-Z 0-9 _ - .
 bool IsName(std::string_view text);
 
+/// @return Standard base64 of `bytes`.
+std::string ToBase64(std::string_view bytes);
+
+/// @return The bytes of standard base64; empty if it cannot be read.
+std::string FromBase64(std::string_view text);
+
 /// @return The lower-case SHA-256 of `secret` in hex: how keys are kept.
 std::string HashKey(std::string_view secret);
 
--- /dev/null
+++ b/test/entry_test.cc
@@ -0,0 +1,196 @@
+// Entry instances as real processes on a stand-in of the users' platform.
+#include <CppUTest/TestHarness.h>
+#include <signal.h>
+
+#include "support/entry_fleet.h"
+
+namespace bw::test {
+namespace {
+
+std::string Name(int n) {
+  constexpr size_t kLength = 17;
+  char out[kLength];
+  snprintf(out, sizeof(out), "%016x", n);
+  return out;
+}
+
+/// Hands a job in until it is accepted, as clients do.
+bool Submit(const EntryFleet& fleet,
+            int n,
+            const std::string& job,
+            int tasks,
+            int ms) {
+  return Eventually([&] {
+    return fleet.Call(n, "POST", job, EntryJob(tasks, ms)).status == 200;
+  });
+}
+
+}  // namespace
+
+TEST_GROUP(Entry){};
+
+TEST(Entry, JobFromEndToEnd) {
+  EntryFleet fleet(3, 4);
+  CHECK(fleet.Start());
+  LONGS_EQUAL(200, fleet.Call(0, "POST", Name(1), EntryJob(5, 200)).status);
+  LONGS_EQUAL(200, fleet.Call(1, "POST", Name(1), EntryJob(5, 200)).status);
+  CHECK(Eventually([&] { return fleet.State(2, Name(1)) == "completed"; }));
+  LONGS_EQUAL(5, fleet.Truth().size());
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+TEST(Entry, WrongCallsGetTrueAnswers) {
+  EntryFleet fleet(2, 1);
+  CHECK(fleet.Start());
+  LONGS_EQUAL(401, fleet.Call(0, "POST", Name(1), EntryJob(1, 1), "x").status);
+  LONGS_EQUAL(400, fleet.Call(0, "POST", Name(1), "{").status);
+  LONGS_EQUAL(400, fleet.Call(0, "POST", Name(1), R"({"steps":[]})").status);
+  LONGS_EQUAL(400, fleet.Call(0, "POST", "short", EntryJob(1, 1)).status);
+  LONGS_EQUAL(410, fleet.Call(0, "GET", Name(1)).status);
+  LONGS_EQUAL(410, fleet.Call(1, "DELETE", Name(1)).status);
+  LONGS_EQUAL(200, fleet.Call(0, "POST", Name(2), EntryJob(1, 0)).status);
+  LONGS_EQUAL(403, fleet.Call(1, "GET", Name(2), "", "k1").status);
+  LONGS_EQUAL(200, fleet.Call(1, "DELETE", Name(2)).status);
+  CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "cancelled"; }));
+}
+
+TEST(Entry, WithdrawnKeyStopsWorkingAndANewOneWorks) {
+  EntryFleet fleet(2, 1);
+  CHECK(fleet.Start());
+  fleet.Configure(2, {"k2", "k1"});
+  for (int n = 0; n < 2; ++n) {
+    CHECK(
+        Eventually([&] { return fleet.Call(n, "GET", Name(1)).status == 401; },
+                   milliseconds(2000)));
+    LONGS_EQUAL(410, fleet.Call(n, "GET", Name(1), "", "k2").status);
+  }
+  fleet.Configure(1, {"k0", "k1"});  // An older version changes nothing.
+  LONGS_EQUAL(401, fleet.Call(0, "GET", Name(1)).status);
+}
+
+// Load: keys are withdrawn while the store turns the instances away.
+TEST(Entry, KeysAreNotTrustedWhileTheStoreIsAway) {
+  EntryFleet fleet(2, 1);
+  CHECK(fleet.Start());
+  fleet.Control({{"mood", "refuses"}});
+  CHECK(Eventually([&] { return fleet.Call(0, "GET", Name(1)).status == 503; },
+                   milliseconds(5000)));
+  CHECK(Eventually([&] { return !fleet.IsReady(0); }, milliseconds(5000)));
+  LONGS_EQUAL(503, fleet.Call(0, "POST", Name(1), EntryJob(1, 1)).status);
+  fleet.Control({{"mood", "well"}});
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  CHECK(Submit(fleet, 0, Name(1), 1, 50));
+}
+
+TEST(Entry, OwnerKilledUnderLoadLosesAndDoublesNothing) {
+  EntryFleet fleet(3, 4);
+  CHECK(fleet.Start());
+  constexpr int kJobs = 24;
+  for (int n = 0; n < kJobs; ++n) {
+    if (n == kJobs / 2) {
+      const int owner = fleet.OwnerNumber();
+      CHECK(owner >= 0);
+      fleet.Entry(owner).Kill();
+      fleet.StartEntry(owner);
+    }
+    CHECK(Submit(fleet, n % 3, Name(n + 1), 2, 400));
+  }
+  for (int n = 0; n < kJobs; ++n) {
+    CHECK(
+        Eventually([&] { return fleet.State(0, Name(n + 1)) == "completed"; }));
+  }
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+TEST(Entry, OwnerFrozenAndWokenOrdersNothingMore) {
+  EntryFleet fleet(3, 4);
+  CHECK(fleet.Start());
+  CHECK(Submit(fleet, 0, Name(1), 4, 5000));
+  const int owner = fleet.OwnerNumber();
+  CHECK(owner >= 0);
+  fleet.Entry(owner).Signal(SIGSTOP);
+  const int other = (owner + 1) % 3;
+  CHECK(Submit(fleet, other, Name(2), 2, 300));
+  fleet.Entry(owner).Signal(SIGCONT);
+  CHECK(Eventually([&] {
+    return fleet.State(other, Name(1)) == "completed" &&
+           fleet.State(other, Name(2)) == "completed";
+  }));
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+TEST(Entry, AllKilledRightAfterAnAcceptance) {
+  EntryFleet fleet(3, 2);
+  CHECK(fleet.Start());
+  CHECK(Submit(fleet, 0, Name(1), 3, 2500));
+  for (int n = 0; n < 3; ++n) {
+    fleet.Entry(n).Kill();
+  }
+  for (int n = 0; n < 3; ++n) {
+    fleet.StartEntry(n);
+  }
+  CHECK(Eventually([&] { return fleet.State(1, Name(1)) == "completed"; }));
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+TEST(Entry, LostAnswersOfTheStoreDoubleNothing) {
+  EntryFleet fleet(2, 2);
+  CHECK(fleet.Start());
+  CHECK(Submit(fleet, 0, Name(1), 2, 1500));
+  fleet.Control({{"mood", "loses"}});
+  usleep(700'000);
+  fleet.Control({{"mood", "well"}});
+  CHECK(Submit(fleet, 1, Name(2), 2, 200));
+  CHECK(Eventually([&] {
+    return fleet.State(0, Name(1)) == "completed" &&
+           fleet.State(0, Name(2)) == "completed";
+  }));
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+TEST(Entry, CrashedBackendServersWorkIsDoneElsewhere) {
+  EntryFleet fleet(2, 3);
+  CHECK(fleet.Start());
+  CHECK(Submit(fleet, 0, Name(1), 3, 1500));
+  usleep(300'000);
+  fleet.Control({{"crash", 0}});
+  CHECK(Eventually([&] { return fleet.State(1, Name(1)) == "completed"; }));
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+TEST(Entry, GracefulShutdownHandsTheCellOver) {
+  EntryFleet fleet(3, 2);
+  CHECK(fleet.Start());
+  const int owner = fleet.OwnerNumber();
+  CHECK(owner >= 0);
+  CHECK(Submit(fleet, owner, Name(1), 2, 1500));
+  fleet.Entry(owner).Signal(SIGTERM);
+  CHECK(Submit(fleet, (owner + 1) % 3, Name(2), 2, 200));
+  LONGS_EQUAL(0, fleet.Entry(owner).Wait(milliseconds(6000)));
+  CHECK(Eventually([&] {
+    return fleet.State((owner + 1) % 3, Name(1)) == "completed" &&
+           fleet.State((owner + 1) % 3, Name(2)) == "completed";
+  }));
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
+// Issue: from a job's name to its cause, by the lines alone.
+TEST(Entry, LinesTellWhatBecameOfAJobAndHoldNoKey) {
+  EntryFleet fleet(2, 2);
+  CHECK(fleet.Start());
+  CHECK(Submit(fleet, 0, Name(1), 1, 100));
+  CHECK(Eventually([&] { return fleet.State(1, Name(1)) == "completed"; }));
+  fleet.Call(0, "POST", Name(2), EntryJob(1, 1), "wrong-key");
+  const std::string lines = fleet.Log(0) + fleet.Log(1);
+  for (const char* event :
+       {"job_accepted", "run_start", "run_ended", "job_ended"}) {
+    CHECK(Eventually([&] {
+      const std::string now = fleet.Log(0) + fleet.Log(1);
+      return now.find(event) != std::string::npos;
+    }));
+  }
+  CHECK(lines.find("wrong-key") == std::string::npos);
+  CHECK(lines.find("k0\"") == std::string::npos);
+}
+
+}  // namespace bw::test
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -8,24 +8,24 @@
 #include <thread>
 
 #include "../src/config_watch_base.h"
+#include "../src/fake/memory_store.h"
 #include "../src/membership_base.h"
 #include "../src/platform/configuration.h"
 #include "../src/record_log_base.h"
-#include "support/fake_store.h"
 
 namespace bw::test {
 namespace {
 
 constexpr const char* kGroup = "bilberrywing-cell";
 
-
 /// One instance's membership, driven by hand on the loop's thread.
 class Member {
  public:
-  Member(FakeStore* store, const std::string& name)
+  Member(fake::MemoryStore* store, const std::string& name)
       : store_(store),
         loop_(
-            milliseconds(5), milliseconds(5000),
+            milliseconds(5),
+            milliseconds(5000),
             [this] {
               if (running) {
                 membership->Tick(BootClock::now());
@@ -64,7 +64,7 @@
   std::atomic<bool> running{true};
 
  private:
-  FakeStore* const store_;
+  fake::MemoryStore* const store_;
   Loop loop_;
   bool started_ = false;
 };
@@ -74,7 +74,7 @@
 TEST_GROUP(Membership){};
 
 TEST(Membership, FirstInstanceGainsTheCell) {
-  FakeStore store;
+  fake::MemoryStore store;
   Member it(&store, "a");
   it.Pass(1200);
   CHECK(it.gained > 0);
@@ -86,7 +86,7 @@
 // Load: an instance starts while another owns the cell. A group deals anew when
 // a member joins, so it must not.
 TEST(Membership, StandbyDoesNotJoinWhileThereIsAnOwner) {
-  FakeStore store;
+  fake::MemoryStore store;
   store.groups[kGroup].members = {"b|b:1|1"};
   store.groups[kGroup].generation = 1;
   store.topics[kGroup] = "keyed.cell";
@@ -102,11 +102,11 @@
 }
 
 TEST(Membership, TermEndsWithoutRenewal) {
-  FakeStore store;
+  fake::MemoryStore store;
   Member it(&store, "a");
   it.Pass(1200);
   CHECK(it.membership->MayAct());
-  store.mood = FakeStore::Mood::kSilent;
+  store.mood = fake::MemoryStore::Mood::kSilent;
   it.Pass(800);
   CHECK(!it.membership->MayAct());
   CHECK(it.membership->MayRenew(milliseconds(5000)));
@@ -114,14 +114,14 @@
 }
 
 TEST(Membership, TermThatLapsedWhileAnotherHeldTheCellIsANewOne) {
-  FakeStore store;
+  fake::MemoryStore store;
   Member it(&store, "a");
   it.Pass(1200);
   const uint64_t before = it.gained;
-  store.mood = FakeStore::Mood::kSilent;
+  store.mood = fake::MemoryStore::Mood::kSilent;
   it.Pass(800);
   store.groups[kGroup].generation += 2;
-  store.mood = FakeStore::Mood::kWell;
+  store.mood = fake::MemoryStore::Mood::kWell;
   it.Pass(400);
   CHECK_EQUAL(1, it.losses);
   CHECK(it.gained > before);
@@ -134,7 +134,7 @@
 
 /// A record log whose core thread answers at once.
 struct LogBench {
-  FakeStore store;
+  fake::MemoryStore store;
   Loop loop{milliseconds(5), milliseconds(5000),
             [this] {
               if (log) {
@@ -168,12 +168,12 @@
 
 TEST(RecordLog, LostAnswerStoresNothingTwice) {
   LogBench it(3);
-  it.store.mood = FakeStore::Mood::kLoses;
+  it.store.mood = fake::MemoryStore::Mood::kLoses;
   it.Keep("a");
   it.loop.Start();
   it.Pass(60);
   CHECK_EQUAL(0, it.done);
-  it.loop.Post([&] { it.store.mood = FakeStore::Mood::kWell; });
+  it.loop.Post([&] { it.store.mood = fake::MemoryStore::Mood::kWell; });
   it.Pass(60);
   CHECK_EQUAL(1, it.done);
   CHECK_EQUAL(1U, it.store.log[CellPartition()].size());
@@ -182,12 +182,12 @@
 
 TEST(RecordLog, RefusedRecordsAreSentAgainInOrder) {
   LogBench it(3);
-  it.store.mood = FakeStore::Mood::kRefuses;
+  it.store.mood = fake::MemoryStore::Mood::kRefuses;
   it.Keep("a");
   it.Keep("b");
   it.loop.Start();
   it.Pass(100);
-  it.loop.Post([&] { it.store.mood = FakeStore::Mood::kWell; });
+  it.loop.Post([&] { it.store.mood = fake::MemoryStore::Mood::kWell; });
   it.Pass(200);
   CHECK_EQUAL(2, it.done);
   const auto& records = it.store.log[CellPartition()];
@@ -230,7 +230,7 @@
 }
 
 struct ConfigBench {
-  FakeStore store;
+  fake::MemoryStore store;
   Loop loop{milliseconds(5), milliseconds(5000),
             [this] { watch.Tick(BootClock::now()); }, [] {}};
   ConfigWatch watch{&store, &loop};
@@ -258,10 +258,12 @@
   it.loop.Start();
   it.Pass(60);
   CHECK_EQUAL(5U, it.Version());
-  it.loop.Post([&] { it.store.Put(kOperator, platform::kConfigKey, Config(4)); });
+  it.loop.Post(
+      [&] { it.store.Put(kOperator, platform::kConfigKey, Config(4)); });
   it.Pass(60);
   CHECK_EQUAL(5U, it.Version());
-  it.loop.Post([&] { it.store.Put(kOperator, platform::kConfigKey, Config(7)); });
+  it.loop.Post(
+      [&] { it.store.Put(kOperator, platform::kConfigKey, Config(7)); });
   it.Pass(60);
   CHECK_EQUAL(7U, it.Version());
   it.loop.Stop();
@@ -289,7 +291,7 @@
   it.loop.Start();
   it.Pass(60);
   CHECK(it.watch.ViewAgeMs(BootClock::now()) < 100);
-  it.loop.Post([&] { it.store.mood = FakeStore::Mood::kRefuses; });
+  it.loop.Post([&] { it.store.mood = fake::MemoryStore::Mood::kRefuses; });
   it.Pass(400);
   CHECK(it.watch.ViewAgeMs(BootClock::now()) > 300);
   it.loop.Stop();
