--- a/src/front.cc
+++ b/src/front.cc
@@ -319,9 +319,8 @@
       it = open_calls_.erase(it);
       continue;
     }
-    if (now >= call->give_up || IsClosing(now)) {
-      due.push_back(call);
-    } else if (call->retry_at != kNever && now >= call->retry_at) {
+    const bool retry = call->retry_at != kNever && now >= call->retry_at;
+    if (retry || now >= call->give_up || IsClosing(now)) {
       due.push_back(call);
     }
     ++it;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -213,10 +213,18 @@
     owner_address_ = owner;
   }
   owner_doubted_ = owner.empty();
+  const Time now = BootClock::now();
+  if (role_ == Role::kJoined && owns_ && now - renewed_at_ > options_.ttl) {
+    if (owner.empty() || owner == options_.address) {
+      SendJoin(now);
+    } else {
+      Resign();
+    }
+    return;
+  }
   if (role_ == Role::kJoined || left_) {
     return;
   }
-  const Time now = BootClock::now();
   if (!owner.empty() || former_self) {
     role_ = Role::kWatching;
   } else if (role_ == Role::kWatching) {
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -11,6 +11,11 @@
 /// A slow store takes some 400 ms; an append without an answer is repeated.
 constexpr milliseconds kAppendTimeout{1500};
 constexpr milliseconds kRefusedPause{50};
+constexpr milliseconds kOvertookPause{10};
+/// Calls under way at once; the store knows the last five again.
+constexpr size_t kMaxCalls = 4;
+/// Between two calls, unless none is under way.
+constexpr milliseconds kCallSpacing{20};
 /// Bytes that the store's framing adds to a record.
 constexpr size_t kFrameBytes = 4;
 
@@ -47,72 +52,95 @@
   return true;
 }
 
+/// Takes as many batches as fit into one call.
+RecordLog::Call RecordLog::NextCall() {
+  Call out;
+  size_t bytes = 0;
+  size_t records = 0;
+  while (!waiting_.empty()) {
+    size_t more = 0;
+    for (const auto& it : waiting_.front().records) {
+      more += it.size() + kFrameBytes;
+    }
+    if (!out.batches.empty() && bytes + more > max_call_bytes_) {
+      break;
+    }
+    bytes += more;
+    records += waiting_.front().records.size();
+    out.batches.push_back(std::move(waiting_.front()));
+    waiting_.pop_front();
+  }
+  if (records == 0) {
+    out.stored = true;  // Only waits for the calls before it.
+  } else {
+    out.sequence = next_sequence_++;
+  }
+  return out;
+}
+
 void RecordLog::Flush(Time now) {
-  if (sending_ || now < retry_at_) {
-    return;
+  // The numbering is known only after the first answer.
+  const size_t most = first_ ? 1 : kMaxCalls;
+  const bool soon = calls_.empty() || now - last_call_at_ >= kCallSpacing;
+  if (!waiting_.empty() && calls_.size() < most && soon) {
+    last_call_at_ = now;
+    calls_.push_back(NextCall());
   }
-  if (in_flight_.empty()) {
-    size_t bytes = 0;
-    size_t records = 0;
-    while (!waiting_.empty()) {
-      size_t more = 0;
-      for (const auto& it : waiting_.front().records) {
-        more += it.size() + kFrameBytes;
-      }
-      if (!in_flight_.empty() && bytes + more > max_call_bytes_) {
-        break;
-      }
-      bytes += more;
-      records += waiting_.front().records.size();
-      in_flight_.push_back(std::move(waiting_.front()));
-      waiting_.pop_front();
-    }
-    if (records == 0) {
-      FinishInFlight();
-      return;
+  for (auto& it : calls_) {
+    if (!it.stored && !it.sending && now >= it.send_at) {
+      Send(&it);
     }
   }
-  Send();
+  FinishStored();
 }
 
-void RecordLog::Send() {
-  sending_ = true;
+void RecordLog::Send(Call* call) {
+  call->sending = true;
   platform::StoreAppend append;
   append.partition = CellPartition();
   append.producer = kCellProducer;
   append.epoch = epoch_;
-  append.sequence = sequence_;
-  for (const auto& batch : in_flight_) {
+  append.sequence = call->sequence;
+  for (const auto& batch : call->batches) {
     append.records.insert(append.records.end(), batch.records.begin(),
                           batch.records.end());
   }
-  store_->Append(std::move(append), kAppendTimeout,
-                 [this, core = core_,
-                  alive = alive_](const platform::AppendAnswer& answer) {
-                   core->PostWaiting([this, alive, answer] {
-                     if (*alive) {
-                       OnAnswer(answer);
-                     }
-                   });
-                 });
+  store_->Append(
+      std::move(append), kAppendTimeout,
+      [this, core = core_, alive = alive_,
+       sequence = call->sequence](const platform::AppendAnswer& answer) {
+        core->PostWaiting([this, alive, sequence, answer] {
+          if (*alive) {
+            OnAnswer(sequence, answer);
+          }
+        });
+      });
 }
 
-void RecordLog::OnAnswer(const platform::AppendAnswer& answer) {
-  sending_ = false;
+void RecordLog::OnAnswer(uint64_t sequence,
+                         const platform::AppendAnswer& answer) {
+  auto call = std::find_if(calls_.begin(), calls_.end(), [&](const Call& it) {
+    return it.sequence == sequence && !it.stored;
+  });
+  if (call == calls_.end()) {
+    return;
+  }
+  call->sending = false;
+  const bool out_of_order = answer.status == platform::StoreStatus::kOutOfOrder;
   const bool repeated_late =
-      answer.status == platform::StoreStatus::kOutOfOrder && !first_ &&
-      answer.expected_sequence == sequence_ + 1;
+      out_of_order && !first_ && answer.expected_sequence > sequence;
   if (answer.status == platform::StoreStatus::kOk || repeated_late) {
     first_ = false;
     last_failure_ = platform::StoreStatus::kOk;
-    ++sequence_;
-    FinishInFlight();
+    call->stored = true;
+    FinishStored();
     return;
   }
-  if (answer.status == platform::StoreStatus::kOutOfOrder && first_) {
+  if (out_of_order && first_) {
     // The first append of this epoch: only the numbering differs.
-    sequence_ = answer.expected_sequence;
-    Send();
+    call->sequence = answer.expected_sequence;
+    next_sequence_ = answer.expected_sequence + 1;
+    Send(&*call);
     return;
   }
   if (answer.status != last_failure_) {
@@ -120,31 +148,38 @@
     LogEvent(Part::kLogClient, "append_failed",
              {{"status", platform::StatusName(answer.status)},
               {"epoch", epoch_},
-              {"sequence", sequence_},
+              {"sequence", sequence},
               {"expected", answer.expected_sequence}});
   }
+  const Time now = BootClock::now();
   switch (answer.status) {
     case platform::StoreStatus::kUnknown:
-      Send();
+      Send(&*call);
+      return;
+    case platform::StoreStatus::kOutOfOrder:  // Overtook the call before it.
+      call->send_at = now + kOvertookPause;
       return;
     case platform::StoreStatus::kRefused:
     case platform::StoreStatus::kNotSent:
     case platform::StoreStatus::kFull:
-      retry_at_ = BootClock::now() + kRefusedPause;
+      call->send_at = now + kRefusedPause;
       return;
     default:
       on_fenced_();
   }
 }
 
-void RecordLog::FinishInFlight() {
-  auto stored = std::move(in_flight_);
-  in_flight_.clear();
+/// Tells what is stored, in order.
+void RecordLog::FinishStored() {
   const auto alive = alive_;
-  for (auto& it : stored) {
-    it.done();
-    if (!*alive) {
-      return;
+  while (*alive && !calls_.empty() && calls_.front().stored) {
+    const Call call = std::move(calls_.front());
+    calls_.pop_front();
+    for (const auto& it : call.batches) {
+      if (!*alive) {
+        return;
+      }
+      it.done();
     }
   }
 }
--- a/src/record_log_base.h
+++ b/src/record_log_base.h
@@ -1,5 +1,5 @@
 // Writes a cell's records to the store as a fenced producer: in order, each
-// once, several in one call.
+// once, several in one call, and a few calls at a time.
 #pragma once
 
 #include <deque>
@@ -36,7 +36,7 @@
   /// Sends what is queued, and again what was refused.
   void Flush(Time now);
 
-  bool IsEmpty() const { return in_flight_.empty() && waiting_.empty(); }
+  bool IsEmpty() const { return calls_.empty() && waiting_.empty(); }
 
  private:
   struct Batch {
@@ -44,9 +44,18 @@
     std::vector<std::string> records;
     std::function<void()> done;
   };
-  void Send();
-  void OnAnswer(const platform::AppendAnswer& answer);
-  void FinishInFlight();
+  /// One call to the store; repeated as it is until it is answered.
+  struct Call {
+    uint64_t sequence = 0;
+    std::vector<Batch> batches;
+    bool stored = false;
+    bool sending = false;
+    Time send_at = kNever;
+  };
+  Call NextCall();
+  void Send(Call* call);
+  void OnAnswer(uint64_t sequence, const platform::AppendAnswer& answer);
+  void FinishStored();
 
   platform::Store* const store_;
   Loop* const core_;
@@ -54,13 +63,12 @@
   const size_t max_call_bytes_;
   const std::function<void()> on_fenced_;
   std::deque<Batch> waiting_;
-  std::vector<Batch> in_flight_;
+  std::deque<Call> calls_;  ///< In the order of their sequence numbers.
   uint64_t last_number_ = 0;
-  uint64_t sequence_ = 1;
+  uint64_t next_sequence_ = 1;
   bool first_ = true;  ///< No append of this epoch has been answered.
-  bool sending_ = false;
+  Time last_call_at_ = kNever;
   platform::StoreStatus last_failure_ = platform::StoreStatus::kOk;
-  Time retry_at_ = kNever;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -128,6 +128,27 @@
   it.Stop();
 }
 
+// Load: the owner's zone is cut off, another instance takes over, the cut
+// heals.
+TEST(Membership, CutOffOwnerDoesNotTakeTheCellBack) {
+  fake::MemoryStore store;
+  Member it(&store, "a");
+  it.Pass(1200);
+  CHECK(it.membership->MayAct());
+  store.mood = fake::MemoryStore::Mood::kSilent;
+  it.Pass(1000);
+  store.groups[kGroup].members = {"b|b:1|1"};
+  store.groups[kGroup].generation += 2;
+  const uint64_t generation = store.groups[kGroup].generation;
+  store.mood = fake::MemoryStore::Mood::kWell;
+  it.Pass(600);
+  for (auto& m : store.groups[kGroup].members) printf("member %s\n", m.c_str());
+  CHECK_EQUAL(generation, store.groups[kGroup].generation);
+  STRCMP_EQUAL("b:1", it.membership->OwnerAddress().c_str());
+  CHECK_EQUAL(1, it.losses);
+  it.Stop();
+}
+
 TEST_GROUP(RecordLog){};
 
 namespace {
@@ -208,6 +229,31 @@
   it.loop.Stop();
 }
 
+// Load: a slow store. Later records must not wait for the answer to earlier
+// ones before they are sent, nor be told before them.
+TEST(RecordLog, SlowAnswersDoNotHoldUpLaterRecords) {
+  LogBench it(3);
+  std::vector<int> told;
+  it.loop.Post(
+      [&] { it.log->Keep({platform::MakeKeyedRecord("first", "1")}, [] {}); });
+  it.loop.Start();
+  it.Pass(40);
+  const int before = it.store.appends;
+  for (int n = 0; n < 3; ++n) {
+    it.loop.Post([&, n] {
+      it.log->Keep({platform::MakeKeyedRecord("k" + std::to_string(n), "1")},
+                   [&told, n] { told.push_back(n); });
+    });
+    std::this_thread::sleep_for(milliseconds(40));  // No answer meanwhile.
+  }
+  CHECK_EQUAL(before + 3, it.store.appends);
+  it.loop.Post(
+      [&] { std::reverse(it.store.answers.begin(), it.store.answers.end()); });
+  it.Pass(60);
+  CHECK(told == std::vector<int>({0, 1, 2}));
+  it.loop.Stop();
+}
+
 TEST(RecordLog, OnlyWhatDidNotLeaveIsTakenBack) {
   LogBench it(3);
   const uint64_t first = it.log->Keep({"xa"}, [] {});
