--- /dev/null
+++ b/src/advice.cc
@@ -0,0 +1,78 @@
+#include <algorithm>
+#include <tuple>
+
+#include "advice_func.h"
+
+namespace bw {
+namespace {
+
+/// Advice slower than this is asked for ahead of room.
+constexpr double kSlowAdviceMs = 200;
+/// Slots on good servers wanted for each task: others take some meanwhile.
+constexpr double kSlotsPerTask = 1.3;
+constexpr double kSlotsPerGangTask = 1.6;
+/// Backend servers named in one question at most; and more than are needed, as
+/// long as they add only this part to the time of the question. Any of them may
+/// have room first.
+constexpr size_t kMaxNamed = 60;
+constexpr double kCheapPart = 0.35;
+
+/// Slots that a server is expected to give.
+uint32_t SlotsOf(const AdviceCandidate& it, const AdviceNeed& need) {
+  const bool ahead = need.gang || IsSlow(need.policy);
+  return it.free_slots > 0 || !ahead ? it.free_slots : it.total_slots;
+}
+
+}  // namespace
+
+bool IsSlow(const AdvicePolicy& policy) {
+  return policy.base_ms > kSlowAdviceMs;
+}
+
+AdviceChoice ChooseServersToName(std::span<const AdviceCandidate> candidates,
+                                 const AdviceNeed& need) {
+  AdviceChoice out;
+  const double wanted =
+      need.count * (need.gang ? kSlotsPerGangTask : kSlotsPerTask);
+  double expected = 0;
+  std::vector<uint32_t> order;
+  for (uint32_t n = 0; n < candidates.size(); ++n) {
+    const AdviceCandidate& it = candidates[n];
+    if (it.admitted) {
+      expected += SlotsOf(it, need);
+    } else if (it.total_slots > 0) {
+      order.push_back(n);
+    }
+  }
+  out.enough = expected >= wanted;
+  if (out.enough) {
+    return out;
+  }
+  // Gangs want large holes; other tasks go where they leave them.
+  std::sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
+    const auto key = [&](uint32_t n) {
+      const AdviceCandidate& it = candidates[n];
+      const auto free = static_cast<int64_t>(it.free_millicores);
+      return std::make_tuple(it.free_slots == 0, !it.known,
+                             need.gang ? -free : free, n);
+    };
+    return key(a) < key(b);
+  });
+  for (uint32_t n : order) {
+    const double time_of_names =
+        need.policy.per_server_ms * static_cast<double>(out.servers.size());
+    const bool dear = time_of_names >= need.policy.base_ms * kCheapPart;
+    if ((expected >= wanted && dear) || out.servers.size() >= kMaxNamed) {
+      break;
+    }
+    const double slots = SlotsOf(candidates[n], need);
+    expected += candidates[n].known ? slots : slots * need.good_share;
+    out.servers.push_back(n);
+  }
+  out.expected = milliseconds(static_cast<int64_t>(
+      need.policy.base_ms +
+      need.policy.per_server_ms * static_cast<double>(out.servers.size())));
+  return out;
+}
+
+}  // namespace bw
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -339,6 +339,22 @@
   void OpenPass(Pass* pass);
   void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
   bool PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
+  StepNeed NeedOf(const StepSpec& spec,
+                  const Step& step,
+                  uint32_t count,
+                  Time now) const;
+  uint32_t StartFitting(Pass* pass,
+                        Job* job,
+                        const StepRef& ref,
+                        Step* step,
+                        const std::vector<uint32_t>& waiting,
+                        const StepNeed& need);
+  void PrepareRoom(Pass* pass,
+                   Job* job,
+                   const StepRef& ref,
+                   Step* step,
+                   const StepNeed& need,
+                   bool urgent);
   void FillRooms(Pass* pass,
                  const Job& job,
                  const StepRef& ref,
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "advice_func.h"
 #include "cell_base.h"
 #include "event_log_func.h"
 #include "text_func.h"
@@ -14,16 +15,6 @@
 constexpr milliseconds kTicketMargin{120};
 /// Time between two questions about one step.
 constexpr milliseconds kAskPause{30};
-/// Advice slower than this is asked for ahead of room.
-constexpr double kSlowAdviceMs = 200;
-/// Slots on good servers wanted for each task: others take some meanwhile.
-constexpr double kSlotsPerTask = 1.3;
-constexpr double kSlotsPerGangTask = 1.6;
-/// Backend servers named in one question at most; and more than are needed, as
-/// long as they add only this part to the time of the question. Any of them may
-/// have room first.
-constexpr size_t kMaxNamed = 60;
-constexpr double kCheapPart = 0.35;
 /// First guess of the share of servers that may run a step.
 constexpr double kFirstGoodShare = 0.5;
 constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
@@ -224,6 +215,53 @@
        slots(most.accelerators, used.accelerators, need.accelerators)}));
 }
 
+/// What the step's waiting tasks ask for. Wishes about racks are given up after
+/// waiting about as long as being far from the data costs.
+StepNeed Cell::NeedOf(const StepSpec& spec,
+                      const Step& step,
+                      uint32_t count,
+                      Time now) const {
+  StepNeed out;
+  out.task = RoomOf(spec);
+  out.count = count;
+  out.gang = spec.gang;
+  out.per_server = spec.per_server;
+  out.spread = spec.perpetual;
+  const auto waited = static_cast<double>(AgeMs(step.waits_since, now));
+  const double patience =
+      (options_.far_factor - 1) * static_cast<double>(spec.estimate_ms) / 2;
+  out.same_rack = spec.same_rack && waited < 2 * patience;
+  out.near_only = !spec.rack.empty() && waited < patience;
+  return out;
+}
+
+/// Places as many of the step's waiting tasks as fit. @return How many.
+uint32_t Cell::StartFitting(Pass* pass,
+                            Job* job,
+                            const StepRef& ref,
+                            Step* step,
+                            const std::vector<uint32_t>& waiting,
+                            const StepNeed& need) {
+  uint64_t gang_run = 0;
+  for (const auto& it : step->tasks) {
+    gang_run = std::max(gang_run, NextRun(*job, it));
+  }
+  uint32_t placed = 0;
+  const auto fit = FitStep(pass->rooms, need);
+  for (size_t n = 0; n < fit.size(); ++n) {
+    if (fit[n] == kNoServer) {
+      continue;
+    }
+    const Task& task = step->tasks[waiting[n]];
+    const TaskRef task_ref{ref.job, ref.occurrence, ref.step, waiting[n]};
+    StartTask(pass, job, task_ref, step, pass->servers[fit[n]],
+              need.gang ? gang_run : NextRun(*job, task));
+    pass->free[fit[n]] = Less(pass->free[fit[n]], need.task);
+    ++placed;
+  }
+  return placed;
+}
+
 /// @return True if nothing of the step waits any more.
 bool Cell::PlaceStep(Pass* pass, const StepRef& ref, bool urgent) {
   Job* job = nullptr;
@@ -235,11 +273,11 @@
   std::vector<uint32_t> waiting;
   uint32_t hidden = 0;
   for (uint32_t n = 0; n < step->tasks.size(); ++n) {
-    if (step->tasks[n].phase == TaskPhase::kWaiting) {
-      hidden += step->tasks[n].hidden ? 1 : 0;
-      if (!step->tasks[n].hidden) {
-        waiting.push_back(n);
-      }
+    const Task& task = step->tasks[n];
+    if (task.phase == TaskPhase::kWaiting && task.hidden) {
+      ++hidden;
+    } else if (task.phase == TaskPhase::kWaiting) {
+      waiting.push_back(n);
     }
   }
   if (waiting.empty() && hidden == 0) {
@@ -250,17 +288,8 @@
     step->why = hidden > 0 ? "runs of a former owner" : "rest of the gang";
     return false;
   }
-  StepNeed need;
-  need.task = RoomOf(spec);
-  need.count = static_cast<uint32_t>(waiting.size());
-  need.gang = spec.gang;
-  need.per_server = spec.per_server;
-  need.spread = spec.perpetual;
-  const auto waited = static_cast<double>(AgeMs(step->waits_since, pass->now));
-  const double patience =
-      (options_.far_factor - 1) * static_cast<double>(spec.estimate_ms) / 2;
-  need.same_rack = spec.same_rack && waited < 2 * patience;
-  need.near_only = !spec.rack.empty() && waited < patience;
+  StepNeed need =
+      NeedOf(spec, *step, static_cast<uint32_t>(waiting.size()), pass->now);
   const uint32_t allowed = QuotaSlots(*job, spec.need);
   if (allowed == 0 || (spec.gang && allowed < need.count)) {
     step->why = "account at its maximum";
@@ -272,47 +301,40 @@
   if (job->policy.advice) {
     LimitToTickets(pass, *step, pass->now + kTicketMargin);
   }
-  const auto fit = FitStep(pass->rooms, need);
-  uint64_t gang_run = 0;
-  for (const auto& it : step->tasks) {
-    gang_run = std::max(gang_run, NextRun(*job, it));
-  }
-  uint32_t placed = 0;
-  for (size_t n = 0; n < fit.size(); ++n) {
-    if (fit[n] == kNoServer) {
-      continue;
-    }
-    Task& task = step->tasks[waiting[n]];
-    const TaskRef task_ref{ref.job, ref.occurrence, ref.step, waiting[n]};
-    StartTask(pass, job, task_ref, step, pass->servers[fit[n]],
-              spec.gang ? gang_run : NextRun(*job, task));
-    pass->free[fit[n]] = Less(pass->free[fit[n]], need.task);
-    ++placed;
-  }
+  const uint32_t placed = StartFitting(pass, job, ref, step, waiting, need);
   if (placed == waiting.size()) {
     if (hidden == 0) {
       ready_.erase(ref);
     }
     return true;
   }
-  need.count -= std::min(need.count, placed);
-  if (need.count == 0) {
-    return false;
-  }
-  for (size_t n = 0; n < rooms.size(); ++n) {
-    rooms[n].free = pass->free[n];
+  need.count -= placed;
+  if (need.count > 0) {
+    for (size_t n = 0; n < rooms.size(); ++n) {
+      rooms[n].free = pass->free[n];
+    }
+    pass->rooms = std::move(rooms);
+    PrepareRoom(pass, job, ref, step, need, urgent);
   }
-  pass->rooms = std::move(rooms);
+  return false;
+}
+
+/// The step does not fit now: asks where it may run, and keeps room for a gang.
+void Cell::PrepareRoom(Pass* pass,
+                       Job* job,
+                       const StepRef& ref,
+                       Step* step,
+                       const StepNeed& need,
+                       bool urgent) {
   step->why = "room";
   if (job->policy.advice) {
     AskForAdvice(pass, job, ref, step, need, urgent);
     LimitToTickets(pass, *step, kNever);
   }
-  if (spec.gang && pass->reservations < kMaxReservations &&
+  if (need.gang && pass->reservations < kMaxReservations &&
       Reserve(pass, need)) {
     step->room_kept = pass->now;
   }
-  return false;
 }
 
 /// Keeps room for a gang: what comes later in this pass may not take it.
@@ -431,73 +453,40 @@
   if (advice.asking || advice.next_ask > pass->now) {
     return;
   }
-  auto [share, added] = good_share_.try_emplace(job->queue, kFirstGoodShare);
-  const bool slow = policy.base_ms > kSlowAdviceMs;
-  const double wanted =
-      need.count * (need.gang ? kSlotsPerGangTask : kSlotsPerTask);
+  const auto ahead = std::chrono::duration<double, std::milli>(
+      IsSlow(policy) ? policy.base_ms : 0);
   const Time renew_at =
-      pass->now + kTicketMargin +
-      std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double, std::milli>(slow ? policy.base_ms : 0));
-  struct Named {
-    uint32_t server = 0;
-    uint64_t rank = 0;
-    double slots = 0;
-  };
-  std::vector<Named> candidates;
-  double expected = 0;
+      pass->now + kTicketMargin + std::chrono::duration_cast<Duration>(ahead);
+  std::vector<AdviceCandidate> candidates;
+  std::vector<BackendId> ids;
   for (uint32_t n = 0; n < pass->rooms.size(); ++n) {
     const ServerRoom& room = pass->rooms[n];
     const BackendId& id = pass->servers[n]->entry.id;
     if (!room.usable || advice.bad.contains(id)) {
       continue;
     }
-    const uint32_t now_slots = SlotsIn(room, room.free, need);
-    const uint32_t slots = now_slots > 0 || (!need.gang && !slow)
-                               ? now_slots
-                               : SlotsIn(room, room.total, need);
-    if (slots == 0 && SlotsIn(room, room.total, need) == 0) {
-      continue;
-    }
-    auto good = advice.good.find(id);
-    if (good != advice.good.end() && good->second.until > renew_at) {
-      expected += slots;
-      continue;
-    }
+    const auto good = advice.good.find(id);
     const bool known = good != advice.good.end();
-    const uint64_t free = room.free.millicores;
-    constexpr uint64_t kKnownBonus = 1ULL << 40;
-    constexpr uint64_t kLargest = 1ULL << 39;
-    uint64_t rank = need.gang ? kLargest - std::min(free, kLargest) : free;
-    rank += known ? 0 : kKnownBonus;
-    rank += now_slots > 0 ? 0 : 2 * kKnownBonus;
-    candidates.push_back({n, rank, known ? slots : slots * share->second});
-  }
-  if (expected >= wanted || candidates.empty()) {
-    step->why = expected >= wanted ? "room where it is admitted"
-                                   : "servers not yet asked about";
+    candidates.push_back({SlotsIn(room, room.free, need),
+                          SlotsIn(room, room.total, need), room.free.millicores,
+                          known && good->second.until > renew_at, known});
+    ids.push_back(id);
+  }
+  const double share =
+      good_share_.try_emplace(job->queue, kFirstGoodShare).first->second;
+  const AdviceChoice choice =
+      ChooseServersToName(candidates, {need.count, need.gang, policy, share});
+  if (choice.servers.empty()) {
+    step->why = choice.enough ? "room where it is admitted"
+                              : "servers not yet asked about";
     return;
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Named& a, const Named& b) {
-              return a.rank != b.rank ? a.rank < b.rank : a.server < b.server;
-            });
   std::vector<BackendId> names;
-  for (const auto& it : candidates) {
-    const bool dear =
-        policy.per_server_ms * static_cast<double>(names.size()) >=
-        policy.base_ms * kCheapPart;
-    if ((expected >= wanted && dear) || names.size() >= kMaxNamed) {
-      break;
-    }
-    expected += it.slots;
-    names.push_back(pass->servers[it.server]->entry.id);
+  for (uint32_t n : choice.servers) {
+    names.push_back(ids[n]);
   }
-  const milliseconds time(static_cast<int64_t>(
-      policy.base_ms +
-      policy.per_server_ms * static_cast<double>(names.size())));
   advice.asking = true;
-  if (!port_->AskAdvice(ref, names, time, urgent)) {
+  if (!port_->AskAdvice(ref, names, choice.expected, urgent)) {
     advice.asking = false;
   }
   step->why = advice.asking ? "advice" : "the advice service is busy";
@@ -617,11 +606,8 @@
           continue;
         }
         const StepRef ref{job.id, occurrence.first, n};
-        StepNeed need;
-        need.task = RoomOf(job.spec.steps[n]);
-        need.count = job.spec.steps[n].count;
-        need.gang = job.spec.steps[n].gang;
-        need.per_server = job.spec.steps[n].per_server;
+        const StepNeed need =
+            NeedOf(job.spec.steps[n], step, job.spec.steps[n].count, now);
         FillRooms(&pass, job, ref, step);
         AskForAdvice(&pass, &job, ref, &step, need, true);
       }
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "../src/advice_func.h"
 #include "../src/fit_func.h"
 #include "../src/order_func.h"
 #include "../src/platform/backend.h"
@@ -218,6 +219,47 @@
   CHECK(ReserveForGang(rooms, Need(8, 4)).empty());
 }
 
+TEST_GROUP(Advice){};
+
+namespace {
+
+AdviceNeed Question(double base_ms, double per_server_ms, uint32_t count) {
+  AdviceNeed out;
+  out.count = count;
+  out.policy = {base_ms, per_server_ms, 2000};
+  return out;
+}
+
+}  // namespace
+
+// Load: many short steps in a nearly full cell. A question that names more
+// servers costs little, and any of them may have room first.
+TEST(Advice, CheapNamesAreAdded) {
+  const std::vector<AdviceCandidate> servers(48, {1, 4, 1000, false, false});
+  const auto cheap = ChooseServersToName(servers, Question(7.4, 0.11, 2));
+  const auto dear = ChooseServersToName(servers, Question(7.4, 7.4, 2));
+  CHECK(cheap.servers.size() > 20);
+  CHECK(dear.servers.size() < 10);
+}
+
+// Load: a gang waits for room where it is admitted.
+TEST(Advice, EnoughTicketsAskNothing) {
+  const std::vector<AdviceCandidate> servers(8, {0, 4, 0, true, true});
+  AdviceNeed need = Question(520, 7.4, 6);
+  need.gang = true;
+  const auto choice = ChooseServersToName(servers, need);
+  CHECK(choice.enough);
+  CHECK(choice.servers.empty());
+}
+
+TEST(Advice, KnownGoodServersWithRoomComeFirst) {
+  std::vector<AdviceCandidate> servers(6, {0, 4, 0, false, false});
+  servers[4] = {2, 4, 2000, false, true};
+  servers[5] = {2, 4, 1000, false, false};
+  const auto choice = ChooseServersToName(servers, Question(7.4, 7.4, 1));
+  CHECK_EQUAL(4U, choice.servers.front());
+}
+
 TEST_GROUP(WallClock){};
 
 TEST(WallClock, JumpIsNotFollowedAtOnce) {
