Fix: [Cell] A refused job leaves no runs behind

Ruled out: appends that overtake each other (refused by their number). Change: refusing forgets the runs, none of which was sent; a start is sent only for the very run that its record names. Cell.RefusedJobHandedInAgainRunsOnce failed before (4 starts for 2 tasks).

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -219,6 +219,21 @@
   }
 }
 
+/// Forgets a refused job's runs: none was sent, as their records would have
+/// followed that of the job.
+void Cell::ForgetRuns(const JobId& id) {
+  for (auto& it : servers_) {
+    std::vector<RunRef> placed;
+    auto run = it.second.runs.lower_bound({TaskRef{id, 0, 0, 0}, 0});
+    for (; run != it.second.runs.end() && run->first.task.job == id; ++run) {
+      placed.push_back(run->first);
+    }
+    for (const auto& ref : placed) {
+      EraseRun(&it.second, ref);
+    }
+  }
+}
+
 /// Jobs whose record did not leave yet are refused when the store is away.
 void Cell::RefuseUnstored(Time now) {
   if (port_->IsSettled()) {
@@ -236,6 +251,7 @@
               {"why", "store away"},
               {"waited_ms", AgeMs(job.accepted, now)}});
     auto waiting = std::move(job.waiting_accept);
+    ForgetRuns(it->first);
     timed_.erase(it->first);
     it = jobs_.erase(it);
     for (auto& done : waiting) {
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -180,10 +180,17 @@
     Time stop_sent = kNever;
     Time stop_answered = kNever;
     bool stop_in_flight = false;
+    uint64_t serial = 0;  ///< Tells it from a later run of the same number.
     uint64_t estimate_ms = 0;
     Time idle_since = kNever;  ///< No processor time used since.
     std::string saved;
   };
+  /// A start that is sent once its record is stored.
+  struct UnsentStart {
+    RunRef run;
+    BackendId backend;
+    uint64_t serial = 0;
+  };
   struct Server {
     BackendEntry entry;
     bool listed = false;
@@ -291,6 +298,7 @@
   void OnAccepted(const JobId& id);
   void OpenJob(Job* job, Time now);
   void RefuseUnstored(Time now);
+  void ForgetRuns(const JobId& id);
   size_t CountOverShareWaiting() const;
   bool IsOverShare(const JobId& id, const TeamId& team, Time now);
   void OnEndStored(const JobId& id, const EndedJob& ended);
@@ -374,7 +382,7 @@
                  Step* step,
                  Server* server,
                  uint64_t run);
-  void SendStart(const RunRef& run, Time now);
+  void SendStart(const UnsentStart& start, Time now);
   uint64_t NextRun(const Job& job, const Task& task) const;
   bool Reserve(Pass* pass, const StepNeed& need);
   Resources RoomOf(const StepSpec& spec) const;
@@ -398,8 +406,9 @@
   std::map<BackendId, Server> servers_;
   std::set<StepRef> ready_;  ///< Steps with tasks that wait.
   std::set<JobId> changed_;
-  std::vector<RunRef> unsent_;  ///< Starts that wait for their record.
-  std::set<JobId> timed_;       ///< Jobs with occurrences still to come.
+  std::vector<UnsentStart> unsent_;  ///< Starts that wait for their record.
+  uint64_t serials_ = 0;
+  std::set<JobId> timed_;  ///< Jobs with occurrences still to come.
   std::map<BackendId, uint64_t> to_acknowledge_;
   std::map<TeamId, Resources> usage_;
   std::map<QueueId, double> good_share_;  ///< Of servers named to the advice.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -369,10 +369,11 @@
   live.need = spec.need;
   live.team = job->team;
   live.estimate_ms = spec.estimate_ms;
+  live.serial = ++serials_;
   server->runs[{ref, run}] = live;
   server->used = server->used + RoomOf(spec);
   usage_[job->team] = usage_[job->team] + spec.need;
-  unsent_.push_back({ref, run});
+  unsent_.push_back({{ref, run}, server->entry.id, live.serial});
   job->changed = true;
   changed_.insert(job->id);
 }
@@ -387,22 +388,21 @@
 }
 
 /// Sends a start whose record is stored, unless it is not wanted any more.
-void Cell::SendStart(const RunRef& run, Time now) {
+void Cell::SendStart(const UnsentStart& start, Time now) {
+  const RunRef& run = start.run;
+  auto found = servers_.find(start.backend);
+  if (found == servers_.end()) {
+    return;
+  }
+  Server* server = &found->second;
+  auto it = server->runs.find(run);
+  if (it == server->runs.end() || it->second.serial != start.serial) {
+    return;  // Given up, and perhaps placed anew, while the store was away.
+  }
+  LiveRun* live = &it->second;
   Job* job = nullptr;
   Step* step = nullptr;
   Task* task = FindTask(run.task, &job, &step);
-  Server* server = nullptr;
-  LiveRun* live = nullptr;
-  for (auto& it : servers_) {
-    auto found = it.second.runs.find(run);
-    if (found != it.second.runs.end()) {
-      server = &it.second;
-      live = &found->second;
-    }
-  }
-  if (live == nullptr) {
-    return;
-  }
   const char* why_not = nullptr;
   if (task == nullptr || job->state != JobState::kActive ||
       live->phase != RunPhase::kStarting) {
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -283,6 +283,33 @@
   CHECK_EQUAL(0, it.Running(First(kJob)));
 }
 
+// Load: the store is away; a job is placed and then refused, and its caller
+// hands it in again.
+TEST(Cell, RefusedJobHandedInAgainRunsOnce) {
+  CellBench it(4);
+  it.stores = false;
+  const auto submit = [&it] {
+    it.cell->Submit(JobId(kJob), TeamId("t0"), QueueId("q"),
+                    CellBench::Tasks(2, 5000), it.now,
+                    [](const CellOutcome&) {});
+  };
+  submit();
+  it.Pass(100);
+  it.port.store_well = false;
+  it.Pass(1000);
+  it.port.store_well = true;
+  submit();
+  it.Pass(100);
+  it.stores = true;
+  it.Pass(300);
+  CHECK_EQUAL(2U, it.log.size());
+  CHECK_EQUAL(1, it.Running(First(kJob, 0)));
+  CHECK_EQUAL(1, it.Running(First(kJob, 1)));
+  for (const auto& backend : it.backends) {
+    CHECK(backend.second.running.size() <= 1);
+  }
+}
+
 TEST(Cell, GangStartsWhole) {
   CellBench it(2);
   it.Submit(kOther, CellBench::Tasks(1, 8000));
