--- /dev/null
+++ b/src/cell_advice.cc
@@ -0,0 +1,160 @@
+// The cell's questions to the advice service, and what their answers mean.
+
+#include <algorithm>
+
+#include "advice_func.h"
+#include "cell_pass.h"
+
+namespace bw {
+namespace {
+
+/// Time between two questions about one step.
+constexpr milliseconds kAskPause{30};
+/// First guess of the share of servers that may run a step.
+constexpr double kFirstGoodShare = 0.5;
+constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
+
+}  // namespace
+
+void Cell::AskForAdvice(Pass* pass,
+                        Job* job,
+                        const StepRef& ref,
+                        Step* step,
+                        const StepNeed& need,
+                        bool urgent) {
+  AdviceState& advice = step->advice;
+  const AdvicePolicy& policy = *job->policy.advice;
+  if (advice.asking || advice.next_ask > pass->now) {
+    return;
+  }
+  const auto ahead = std::chrono::duration<double, std::milli>(
+      IsSlow(policy) ? policy.base_ms : 0);
+  const Time renew_at =
+      pass->now + kTicketMargin + std::chrono::duration_cast<Duration>(ahead);
+  std::vector<AdviceCandidate> candidates;
+  std::vector<BackendId> ids;
+  for (uint32_t n = 0; n < pass->rooms.size(); ++n) {
+    const ServerRoom& room = pass->rooms[n];
+    const BackendId& id = pass->servers[n]->entry.id;
+    if (!room.usable || advice.bad.contains(id)) {
+      continue;
+    }
+    const auto good = advice.good.find(id);
+    const bool known = good != advice.good.end();
+    candidates.push_back({SlotsIn(room, room.free, need),
+                          SlotsIn(room, room.total, need), room.free.millicores,
+                          known && good->second.until > renew_at, known});
+    ids.push_back(id);
+  }
+  const double share =
+      good_share_.try_emplace(job->queue, kFirstGoodShare).first->second;
+  const AdviceChoice choice =
+      ChooseServersToName(candidates, {need.count, need.gang, policy, share});
+  if (choice.servers.empty()) {
+    step->why = choice.enough ? "room where it is admitted"
+                              : "servers not yet asked about";
+    return;
+  }
+  std::vector<BackendId> names;
+  for (uint32_t n : choice.servers) {
+    names.push_back(ids[n]);
+  }
+  advice.asking = true;
+  if (!port_->AskAdvice(ref, names, choice.expected, urgent)) {
+    advice.asking = false;
+  }
+  step->why = advice.asking ? "advice" : "the advice service is busy";
+}
+
+void Cell::OnAdvice(const StepRef& ref,
+                    const std::vector<BackendId>& asked,
+                    const platform::AdviceAnswer& answer,
+                    Time now) {
+  Job* job = nullptr;
+  Step* step = FindStep(ref, &job);
+  if (step == nullptr || !job->policy.advice) {
+    return;
+  }
+  AdviceState& advice = step->advice;
+  advice.asking = false;
+  advice.next_ask = now + (answer.answered ? kAskPause : 4 * kAskPause);
+  if (!answer.answered) {
+    return;
+  }
+  const uint64_t valid_ms =
+      answer.valid_ms > 0 ? answer.valid_ms : job->policy.advice->valid_ms;
+  uint32_t new_names = 0;
+  uint32_t new_good = 0;
+  for (const auto& id : asked) {
+    const bool known = advice.good.contains(id);
+    const bool good =
+        std::any_of(answer.good.begin(), answer.good.end(),
+                    [&](const Ticket& it) { return it.backend == id; });
+    new_names += known ? 0 : 1;
+    new_good += !known && good ? 1 : 0;
+    if (!good) {
+      advice.bad.insert(id);
+      advice.good.erase(id);
+    }
+  }
+  for (const auto& it : answer.good) {
+    advice.good[it.backend] = {it.text, now + milliseconds(valid_ms)};
+  }
+  if (new_names > 0) {
+    double& share = good_share_[job->queue];
+    share +=
+        kGoodShareWeight * (static_cast<double>(new_good) / new_names - share);
+    constexpr double kLeastShare = 0.05;
+    share = std::max(share, kLeastShare);
+  }
+}
+
+/// Asks for the advice of steps that become ready soon, so that it is there
+/// when they do.
+void Cell::AskAhead(Time now) {
+  if (!port_->MayAct()) {
+    return;
+  }
+  Pass pass;
+  pass.now = now;
+  OpenPass(&pass);
+  for (auto& it : jobs_) {
+    Job& job = it.second;
+    if (job.spec.steps.size() < 2 || !job.policy.advice ||
+        job.state != JobState::kActive) {
+      continue;
+    }
+    for (auto& occurrence : job.occurrences) {
+      auto& steps = occurrence.second.steps;
+      for (uint32_t n = 0; n < steps.size(); ++n) {
+        Step& step = steps[n];
+        if (step.ready || step.advice.asking) {
+          continue;
+        }
+        const auto& after = job.spec.steps[n].after;
+        const bool soon =
+            std::all_of(after.begin(), after.end(), [&](uint32_t b) {
+              const Step& before = steps[b];
+              const bool running =
+                  before.done + before.live == before.tasks.size();
+              const double left =
+                  static_cast<double>(job.spec.steps[b].estimate_ms) -
+                  static_cast<double>(AgeMs(before.started, now));
+              constexpr double kAheadMs = 300;
+              return before.done == before.tasks.size() ||
+                     (running && left < job.policy.advice->base_ms + kAheadMs);
+            });
+        if (!soon) {
+          continue;
+        }
+        const StepRef ref{job.id, occurrence.first, n};
+        const StepNeed need =
+            NeedOf(job.spec.steps[n], step, job.spec.steps[n].count, now);
+        FillRooms(&pass, job, ref, step);
+        AskForAdvice(&pass, &job, ref, &step, need, true);
+      }
+    }
+  }
+}
+
+}  // namespace bw
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -331,6 +331,7 @@
   void ForgetHidden(const Job& job, const TaskRef& ref, Task* task);
   void BreakPartialGang(Job* job, const StepRef& ref, Time now);
   void BreakGang(Job* job, const TaskRef& member, Time now);
+  void Avoid(Server* server, Time now);
   void Strike(Server* server, Time now);
   bool LeasesLapsed(const Server& server, Time now) const;
   uint64_t ClockOf(const Server& server, Time now) const;
--- /dev/null
+++ b/src/cell_pass.h
@@ -0,0 +1,23 @@
+// One placing pass of the cell; only the files cell_*.cc include it.
+#pragma once
+
+#include <vector>
+
+#include "cell_base.h"
+
+namespace bw {
+
+/// A ticket must stay valid this long after a start is sent.
+inline constexpr milliseconds kTicketMargin{120};
+
+/// One placing pass: the free room of all servers, less what steps that came
+/// first took or are kept.
+struct Cell::Pass {
+  Time now;
+  std::vector<Server*> servers;
+  std::vector<ServerRoom> rooms;  ///< Of the step that is being placed.
+  std::vector<Resources> free;
+  uint32_t reservations = 0;
+};
+
+}  // namespace bw
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -1,23 +1,14 @@
-// The cell's placing pass: which waiting steps get room, where, and which
-// questions go to the advice service.
+// The cell's placing pass: which waiting steps get room, and where.
 
 #include <algorithm>
 
-#include "advice_func.h"
-#include "cell_base.h"
+#include "cell_pass.h"
 #include "event_log_func.h"
 #include "text_func.h"
 
 namespace bw {
 namespace {
 
-/// A ticket must stay valid this long after a start is sent.
-constexpr milliseconds kTicketMargin{120};
-/// Time between two questions about one step.
-constexpr milliseconds kAskPause{30};
-/// First guess of the share of servers that may run a step.
-constexpr double kFirstGoodShare = 0.5;
-constexpr double kGoodShareWeight = 0.1;  ///< Of the newest answer.
 /// Gangs that room is kept for at once.
 constexpr uint32_t kMaxReservations = 3;
 /// Room counts as kept if a pass kept it this recently.
@@ -29,29 +20,8 @@
   return static_cast<int64_t>(n);
 }
 
-Resources Less(Resources a, const Resources& b) {
-  a.millicores -= std::min(a.millicores, b.millicores);
-  a.memory_mb -= std::min(a.memory_mb, b.memory_mb);
-  a.accelerators -= std::min(a.accelerators, b.accelerators);
-  return a;
-}
-
-Resources Times(const Resources& it, uint64_t n) {
-  return {it.millicores * n, it.memory_mb * n, it.accelerators * n};
-}
-
 }  // namespace
 
-/// One placing pass: the free room of all servers, less what steps that came
-/// first took or are kept.
-struct Cell::Pass {
-  Time now;
-  std::vector<Server*> servers;
-  std::vector<ServerRoom> rooms;  ///< Of the step that is being placed.
-  std::vector<Resources> free;
-  uint32_t reservations = 0;
-};
-
 Resources Cell::RoomOf(const StepSpec& spec) const {
   Resources out = spec.need;
   if (spec.fills) {
@@ -90,7 +60,7 @@
     if (open) {
       server.pass_index = static_cast<uint32_t>(pass->servers.size());
       pass->servers.push_back(&server);
-      pass->free.push_back(Less(server.entry.capacity, server.used));
+      pass->free.push_back(server.entry.capacity.Without(server.used));
     }
   }
 }
@@ -256,7 +226,7 @@
     const TaskRef task_ref{ref.job, ref.occurrence, ref.step, waiting[n]};
     StartTask(pass, job, task_ref, step, pass->servers[fit[n]],
               need.gang ? gang_run : NextRun(*job, task));
-    pass->free[fit[n]] = Less(pass->free[fit[n]], need.task);
+    pass->free[fit[n]] = pass->free[fit[n]].Without(need.task);
     ++placed;
   }
   return placed;
@@ -346,7 +316,7 @@
   }
   ++pass->reservations;
   for (size_t n = 0; n < kept.size(); ++n) {
-    pass->free[n] = Less(pass->free[n], Times(need.task, kept[n]));
+    pass->free[n] = pass->free[n].Without(need.task.Times(kept[n]));
   }
   return true;
 }
@@ -437,104 +407,11 @@
            {{"task", platform::TaskName(run.task)},
             {"run", run.number},
             {"backend", server->entry.id.value},
-            {"free", Less(server->entry.capacity, server->used).millicores},
+            {"free", server->entry.capacity.Without(server->used).millicores},
             {"waited_ms", AgeMs(step->waits_since, now)}});
   port_->Start(server->entry, std::move(order));
 }
 
-void Cell::AskForAdvice(Pass* pass,
-                        Job* job,
-                        const StepRef& ref,
-                        Step* step,
-                        const StepNeed& need,
-                        bool urgent) {
-  AdviceState& advice = step->advice;
-  const AdvicePolicy& policy = *job->policy.advice;
-  if (advice.asking || advice.next_ask > pass->now) {
-    return;
-  }
-  const auto ahead = std::chrono::duration<double, std::milli>(
-      IsSlow(policy) ? policy.base_ms : 0);
-  const Time renew_at =
-      pass->now + kTicketMargin + std::chrono::duration_cast<Duration>(ahead);
-  std::vector<AdviceCandidate> candidates;
-  std::vector<BackendId> ids;
-  for (uint32_t n = 0; n < pass->rooms.size(); ++n) {
-    const ServerRoom& room = pass->rooms[n];
-    const BackendId& id = pass->servers[n]->entry.id;
-    if (!room.usable || advice.bad.contains(id)) {
-      continue;
-    }
-    const auto good = advice.good.find(id);
-    const bool known = good != advice.good.end();
-    candidates.push_back({SlotsIn(room, room.free, need),
-                          SlotsIn(room, room.total, need), room.free.millicores,
-                          known && good->second.until > renew_at, known});
-    ids.push_back(id);
-  }
-  const double share =
-      good_share_.try_emplace(job->queue, kFirstGoodShare).first->second;
-  const AdviceChoice choice =
-      ChooseServersToName(candidates, {need.count, need.gang, policy, share});
-  if (choice.servers.empty()) {
-    step->why = choice.enough ? "room where it is admitted"
-                              : "servers not yet asked about";
-    return;
-  }
-  std::vector<BackendId> names;
-  for (uint32_t n : choice.servers) {
-    names.push_back(ids[n]);
-  }
-  advice.asking = true;
-  if (!port_->AskAdvice(ref, names, choice.expected, urgent)) {
-    advice.asking = false;
-  }
-  step->why = advice.asking ? "advice" : "the advice service is busy";
-}
-
-void Cell::OnAdvice(const StepRef& ref,
-                    const std::vector<BackendId>& asked,
-                    const platform::AdviceAnswer& answer,
-                    Time now) {
-  Job* job = nullptr;
-  Step* step = FindStep(ref, &job);
-  if (step == nullptr || !job->policy.advice) {
-    return;
-  }
-  AdviceState& advice = step->advice;
-  advice.asking = false;
-  advice.next_ask = now + (answer.answered ? kAskPause : 4 * kAskPause);
-  if (!answer.answered) {
-    return;
-  }
-  const uint64_t valid_ms =
-      answer.valid_ms > 0 ? answer.valid_ms : job->policy.advice->valid_ms;
-  uint32_t new_names = 0;
-  uint32_t new_good = 0;
-  for (const auto& id : asked) {
-    const bool known = advice.good.contains(id);
-    const bool good =
-        std::any_of(answer.good.begin(), answer.good.end(),
-                    [&](const Ticket& it) { return it.backend == id; });
-    new_names += known ? 0 : 1;
-    new_good += !known && good ? 1 : 0;
-    if (!good) {
-      advice.bad.insert(id);
-      advice.good.erase(id);
-    }
-  }
-  for (const auto& it : answer.good) {
-    advice.good[it.backend] = {it.text, now + milliseconds(valid_ms)};
-  }
-  if (new_names > 0) {
-    double& share = good_share_[job->queue];
-    share +=
-        kGoodShareWeight * (static_cast<double>(new_good) / new_names - share);
-    constexpr double kLeastShare = 0.05;
-    share = std::max(share, kLeastShare);
-  }
-}
-
 /// One line for each of the steps that wait longest, with what they lack.
 void Cell::LogLongWaits(Time now) const {
   constexpr milliseconds kLong{3000};
@@ -567,52 +444,4 @@
   }
 }
 
-/// Asks for the advice of steps that become ready soon, so that it is there
-/// when they do.
-void Cell::AskAhead(Time now) {
-  if (!port_->MayAct()) {
-    return;
-  }
-  Pass pass;
-  pass.now = now;
-  OpenPass(&pass);
-  for (auto& it : jobs_) {
-    Job& job = it.second;
-    if (job.spec.steps.size() < 2 || !job.policy.advice ||
-        job.state != JobState::kActive) {
-      continue;
-    }
-    for (auto& occurrence : job.occurrences) {
-      auto& steps = occurrence.second.steps;
-      for (uint32_t n = 0; n < steps.size(); ++n) {
-        Step& step = steps[n];
-        if (step.ready || step.advice.asking) {
-          continue;
-        }
-        const auto& after = job.spec.steps[n].after;
-        const bool soon =
-            std::all_of(after.begin(), after.end(), [&](uint32_t b) {
-              const Step& before = steps[b];
-              const bool running =
-                  before.done + before.live == before.tasks.size();
-              const double left =
-                  static_cast<double>(job.spec.steps[b].estimate_ms) -
-                  static_cast<double>(AgeMs(before.started, now));
-              constexpr double kAheadMs = 300;
-              return before.done == before.tasks.size() ||
-                     (running && left < job.policy.advice->base_ms + kAheadMs);
-            });
-        if (!soon) {
-          continue;
-        }
-        const StepRef ref{job.id, occurrence.first, n};
-        const StepNeed need =
-            NeedOf(job.spec.steps[n], step, job.spec.steps[n].count, now);
-        FillRooms(&pass, job, ref, step);
-        AskForAdvice(&pass, &job, ref, &step, need, true);
-      }
-    }
-  }
-}
-
 }  // namespace bw
--- /dev/null
+++ b/src/cell_run.cc
@@ -0,0 +1,289 @@
+// The cell's runs: what an end, a loss or a failure of a run means for its
+// task.
+
+#include <algorithm>
+
+#include "cell_base.h"
+#include "event_log_func.h"
+
+namespace bw {
+namespace {
+
+/// Failures in a row after which a backend server is avoided, and how long.
+constexpr uint32_t kStrikesToAvoid = 2;
+constexpr milliseconds kAvoidFor{4'000};
+/// Failures of one task that are remembered; only lasting tasks have more.
+constexpr size_t kMaxFailures = 64;
+
+/// Counts the failure of a run once, whoever owned the cell when it came.
+void NoteFailure(std::vector<uint64_t>* failed_runs, uint64_t run) {
+  if (std::find(failed_runs->begin(), failed_runs->end(), run) ==
+          failed_runs->end() &&
+      failed_runs->size() < kMaxFailures) {
+    failed_runs->push_back(run);
+  }
+}
+
+}  // namespace
+
+void Cell::EraseRun(Server* server, const RunRef& run) {
+  auto it = server->runs.find(run);
+  if (it == server->runs.end()) {
+    return;
+  }
+  const LiveRun& live = it->second;
+  if (live.foreign) {
+    --server->foreign_runs;
+  } else {
+    Job* job = nullptr;
+    Step* step = nullptr;
+    Resources room = live.need;
+    if (FindTask(run.task, &job, &step) != nullptr) {
+      room = RoomOf(job->spec.steps[run.task.step]);
+    }
+    server->used = server->used.Without(room);
+    Resources& usage = usage_[live.team];
+    usage = usage.Without(live.need);
+  }
+  server->runs.erase(it);
+}
+
+void Cell::OnEnd(Server* server, const ListedEnd& end, Time now) {
+  const auto live = server->runs.find(end.run);
+  const uint32_t ran_ms =
+      live == server->runs.end() ? 0 : AgeMs(live->second.sent, now);
+  EraseRun(server, end.run);
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = FindTask(end.run.task, &job, &step);
+  LogEvent(Part::kPlacer, "run_ended",
+           {{"task", platform::TaskName(end.run.task)},
+            {"run", end.run.number},
+            {"backend", server->entry.id.value},
+            {"how", static_cast<int>(end.end)},
+            {"ran_ms", ran_ms}});
+  if (end.end == RunEnd::kDone) {
+    server->strikes = 0;
+  }
+  if (task == nullptr || job->state != JobState::kActive ||
+      task->phase == TaskPhase::kDone) {
+    return;
+  }
+  const bool current = task->phase == TaskPhase::kLive &&
+                       task->where == server->entry.id &&
+                       task->run == end.run.number;
+  if (end.end == RunEnd::kDone) {
+    TaskDone(job, end.run.task, now);
+    return;
+  }
+  if (task->hidden && task->where == server->entry.id &&
+      task->run == end.run.number) {
+    ForgetHidden(*job, end.run.task, task);
+    if (!end.saved.empty() && job->spec.steps[end.run.task.step].checkpoint) {
+      task->saved = end.saved;
+    }
+  }
+  if (end.end == RunEnd::kFailed) {
+    TaskFailed(server, job, end.run, now);
+  }
+  if (current && job->state == JobState::kActive) {
+    TaskWaits(job, end.run.task, end.saved, now);
+  }
+}
+
+/// A run that surely does not and will not run, without an end on the list.
+void Cell::OnGone(Server* server,
+                  const RunRef& run,
+                  const char* why,
+                  Time now) {
+  const auto live = server->runs.find(run);
+  const std::string saved =
+      live == server->runs.end() ? std::string() : live->second.saved;
+  EraseRun(server, run);
+  LogEvent(Part::kPlacer, "run_gone",
+           {{"task", platform::TaskName(run.task)},
+            {"run", run.number},
+            {"backend", server->entry.id.value},
+            {"why", why}});
+  Job* job = nullptr;
+  Step* step = nullptr;
+  Task* task = FindTask(run.task, &job, &step);
+  if (task != nullptr && job->state == JobState::kActive &&
+      task->phase == TaskPhase::kLive && task->where == server->entry.id &&
+      task->run == run.number) {
+    TaskWaits(job, run.task, saved, now);
+  }
+}
+
+void Cell::TaskDone(Job* job, const TaskRef& ref, Time now) {
+  Occurrence& occurrence = job->occurrences.at(ref.occurrence);
+  Step& step = occurrence.steps[ref.step];
+  const StepSpec& spec = job->spec.steps[ref.step];
+  const auto finish = [&](uint32_t index) {
+    Task& task = step.tasks[index];
+    if (task.phase == TaskPhase::kDone) {
+      return;
+    }
+    if (task.phase == TaskPhase::kLive) {
+      --step.live;
+      auto server = servers_.find(task.where);
+      const TaskRef other{ref.job, ref.occurrence, ref.step, index};
+      if (!spec.gang && server != servers_.end()) {
+        auto live = server->second.runs.find({other, task.run});
+        if (live != server->second.runs.end()) {
+          SendStop(&server->second, live->first, &live->second, now);
+        }
+      }
+    }
+    if (task.hidden) {
+      ForgetHidden(*job, {ref.job, ref.occurrence, ref.step, index}, &task);
+    }
+    task.phase = TaskPhase::kDone;
+    ++step.done;
+  };
+  if (spec.perpetual) {
+    TaskWaits(job, ref, {}, now);
+    return;
+  }
+  if (spec.gang) {
+    for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+      finish(n);
+    }
+  } else {
+    finish(ref.index);
+  }
+  job->changed = true;
+  changed_.insert(job->id);
+  if (step.done < step.tasks.size()) {
+    return;
+  }
+  ready_.erase({job->id, ref.occurrence, ref.step});
+  ++occurrence.steps_done;
+  UpdateReady(job, ref.occurrence, now);
+  if (occurrence.steps_done < occurrence.steps.size()) {
+    return;
+  }
+  const uint64_t count = std::max<uint64_t>(1, job->spec.repeat_count);
+  while (true) {
+    auto first = job->occurrences.find(job->first_occurrence);
+    if (first == job->occurrences.end() ||
+        first->second.steps_done < first->second.steps.size()) {
+      break;
+    }
+    job->occurrences.erase(first);
+    ++job->first_occurrence;
+  }
+  if (job->first_occurrence >= count) {
+    EndJob(job, JobState::kCompleted, now);
+  }
+}
+
+void Cell::TaskFailed(Server* server, Job* job, const RunRef& run, Time now) {
+  Step& step = job->occurrences.at(run.task.occurrence).steps[run.task.step];
+  Task& task = step.tasks[run.task.index];
+  const StepSpec& spec = job->spec.steps[run.task.step];
+  task.failed_on = server->entry.id;
+  NoteFailure(&task.failed_runs, run.number);
+  if (spec.gang) {
+    NoteFailure(&step.failed_runs, run.number);
+  }
+  job->changed = true;
+  changed_.insert(job->id);
+  Strike(server, now);
+  const size_t failures =
+      std::max(task.failed_runs.size(), step.failed_runs.size());
+  if (!spec.perpetual && failures >= job->policy.max_attempts) {
+    LogEvent(Part::kPlacer, "job_failed",
+             {{"job", job->id.value},
+              {"task", platform::TaskName(run.task)},
+              {"failures", failures}});
+    EndJob(job, JobState::kFailed, now);
+  }
+}
+
+/// Gives the backend server no work for a while.
+void Cell::Avoid(Server* server, Time now) {
+  server->avoid_until = now + kAvoidFor;
+}
+
+void Cell::Strike(Server* server, Time now) {
+  server->strikes += 1;
+  if (server->strikes >= kStrikesToAvoid) {
+    Avoid(server, now);
+    LogEvent(
+        Part::kPlacer, "backend_avoided",
+        {{"backend", server->entry.id.value}, {"strikes", server->strikes}});
+  }
+}
+
+void Cell::TaskWaits(Job* job,
+                     const TaskRef& ref,
+                     const std::string& saved,
+                     Time now) {
+  Step& step = job->occurrences.at(ref.occurrence).steps[ref.step];
+  Task& task = step.tasks[ref.index];
+  const StepSpec& spec = job->spec.steps[ref.step];
+  if (task.phase == TaskPhase::kLive) {
+    --step.live;
+  }
+  task.phase = TaskPhase::kWaiting;
+  step.waits_since = now;
+  if (!saved.empty() && spec.checkpoint) {
+    if (spec.gang) {
+      for (auto& it : step.tasks) {
+        it.saved = saved;
+      }
+    } else {
+      task.saved = saved;
+    }
+    job->changed = true;
+    changed_.insert(job->id);
+  }
+  if (spec.gang) {
+    BreakGang(job, ref, now);
+  } else {
+    ready_.insert({ref.job, ref.occurrence, ref.step});
+  }
+}
+
+/// A gang of which only a part was found running: the rest never started.
+void Cell::BreakPartialGang(Job* job, const StepRef& ref, Time now) {
+  Step& step = job->occurrences.at(ref.occurrence).steps[ref.step];
+  const bool any_hidden = std::any_of(step.tasks.begin(), step.tasks.end(),
+                                      [](const Task& it) { return it.hidden; });
+  if (job->spec.steps[ref.step].gang && !any_hidden && step.live > 0 &&
+      step.live + step.done < step.tasks.size()) {
+    BreakGang(job, {ref.job, ref.occurrence, ref.step, 0}, now);
+  }
+}
+
+/// Stops what is left of a gang; it starts anew once all of it is gone.
+void Cell::BreakGang(Job* job, const TaskRef& member, Time now) {
+  Step& step = job->occurrences.at(member.occurrence).steps[member.step];
+  if (step.live == 0) {
+    step.breaking = false;
+    ready_.insert({member.job, member.occurrence, member.step});
+    return;
+  }
+  if (step.breaking) {
+    return;
+  }
+  step.breaking = true;
+  for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+    const Task& task = step.tasks[n];
+    auto server = servers_.find(task.where);
+    if (task.phase != TaskPhase::kLive || server == servers_.end()) {
+      continue;
+    }
+    const TaskRef ref{member.job, member.occurrence, member.step, n};
+    auto live = server->second.runs.find({ref, task.run});
+    if (live != server->second.runs.end() &&
+        live->second.phase != RunPhase::kStarting) {
+      SendStop(&server->second, live->first, &live->second, now);
+    } else if (live != server->second.runs.end()) {
+      live->second.phase = RunPhase::kStopping;
+    }
+  }
+}
+
+}  // namespace bw
--- a/src/place_type.h
+++ b/src/place_type.h
@@ -1,6 +1,7 @@
 // Plain types of the placing decision.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <string>
@@ -30,6 +31,15 @@
     return {millicores - it.millicores, memory_mb - it.memory_mb,
             accelerators - it.accelerators};
   }
+  /// @return What is left without `it`; nothing where it is more than this.
+  Resources Without(const Resources& it) const {
+    return {millicores - std::min(millicores, it.millicores),
+            memory_mb - std::min(memory_mb, it.memory_mb),
+            accelerators - std::min(accelerators, it.accelerators)};
+  }
+  Resources Times(uint64_t n) const {
+    return {millicores * n, memory_mb * n, accelerators * n};
+  }
 };
 
 /// One worker as the decision sees it.
--- a/src/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -18,13 +18,13 @@
 #include <set>
 #include <vector>
 
-#include "../net/http_server.h"
-#include "../platform/configuration.h"
-#include "../process_func.h"
-#include "../text_func.h"
-#include "alarm.h"
-#include "fake_settings.h"
-#include "memory_store.h"
+#include "../../fake/alarm.h"
+#include "../../fake/fake_settings.h"
+#include "../../fake/memory_store.h"
+#include "../../net/http_server.h"
+#include "../../process_func.h"
+#include "../../text_func.h"
+#include "../configuration.h"
 
 namespace bw::fake {
 namespace {
