--- a/src/cell.cc
+++ b/src/cell.cc
@@ -507,13 +507,15 @@
     Place(now);
     // Passes take at most a third of the core thread's time.
     const Duration took = BootClock::now() - began;
+    ++work_.passes;
+    work_.pass_us += static_cast<uint64_t>(took.count());
     next_pass_ = now + took + std::max<Duration>(kPassPause, 2 * took);
   }
   KeepChanges();
 }
 
 Cell::Counts Cell::Count() const {
-  Counts out;
+  Counts out = work_;
   out.jobs = jobs_.size();
   out.servers = servers_.size();
   out.waiting_steps = ready_.size();
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -59,9 +59,13 @@
   for (uint32_t n : choice.servers) {
     names.push_back(ids[n]);
   }
-  advice.asking = true;
-  if (!port_->AskAdvice(ref, names, choice.expected, urgent)) {
+  advice.asking = true;  // The answer may come within the call.
+  if (port_->AskAdvice(ref, names, choice.expected, urgent)) {
+    ++work_.questions;
+    work_.questions_ms += static_cast<uint64_t>(choice.expected.count());
+  } else {
     advice.asking = false;
+    ++work_.advice_busy;
   }
   step->why = advice.asking ? "advice" : "the advice service is busy";
 }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -160,6 +160,11 @@
     size_t runs = 0;
     uint64_t free_millicores = 0;
     uint64_t total_millicores = 0;
+    uint64_t passes = 0;        ///< Placing passes so far.
+    uint64_t pass_us = 0;       ///< Time of all passes.
+    uint64_t questions = 0;     ///< To the advice service so far.
+    uint64_t questions_ms = 0;  ///< Their expected time.
+    uint64_t advice_busy = 0;   ///< Questions that no instance could take.
   };
   Counts Count() const;
 
@@ -424,6 +429,7 @@
   std::map<TeamId, Resources> hidden_usage_;  ///< What those take.
   Time next_ahead_ = kNever;
   Time next_pass_ = kNever;
+  Counts work_;  ///< Only what is counted as it happens.
   uint64_t arrivals_ = 0;
   Time next_sweep_ = kNever;
   Time next_wait_log_ = kNever;
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -140,6 +140,12 @@
               {"backends", counts.servers},
               {"free_millicores", counts.free_millicores},
               {"total_millicores", counts.total_millicores},
+              {"passes", counts.passes},
+              {"pass_us", counts.pass_us},
+              {"questions", counts.questions},
+              {"questions_ms", counts.questions_ms},
+              {"advice_busy", counts.advice_busy},
+              {"members", membership_.Members().size()},
               {"queued_steps", core_.Queued()}});
   }
 }
