Fix: [Advice] Tickets are renewed only once there is room

Ruled out: processor time of the owner (14 ms a pass at 180 waiting steps, at most a third of its time), the store (15 to 30 ms). Change: known servers are named again only when they have room for a task, or for half a gang.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -11,6 +11,8 @@
 /// Slots on good servers wanted for each task: others take some meanwhile.
 constexpr double kSlotsPerTask = 1.3;
 constexpr double kSlotsPerGangTask = 1.6;
+/// A gang's tickets are renewed once this part of its tasks has room.
+constexpr double kGangPartFree = 0.5;
 /// Backend servers named in one question at most; and more than are needed, as
 /// long as they add only this part to the time of the question. Any of them may
 /// have room first.
@@ -34,20 +36,36 @@
   AdviceChoice out;
   const double wanted =
       need.count * (need.gang ? kSlotsPerGangTask : kSlotsPerTask);
-  double expected = 0;
+  double admitted = 0;
+  double known = 0;       // Slots where it may run, with a ticket or without.
+  double known_free = 0;  // Of those, free now.
   std::vector<uint32_t> order;
   for (uint32_t n = 0; n < candidates.size(); ++n) {
     const AdviceCandidate& it = candidates[n];
+    if (it.admitted || it.known) {
+      known += SlotsOf(it, need);
+      known_free += it.free_slots;
+    }
     if (it.admitted) {
-      expected += SlotsOf(it, need);
+      admitted += SlotsOf(it, need);
     } else if (it.total_slots > 0) {
       order.push_back(n);
     }
   }
-  out.enough = expected >= wanted;
+  out.enough = admitted >= wanted;
   if (out.enough) {
     return out;
   }
+  const double worth_renewing = need.gang ? need.count * kGangPartFree : 1;
+  const bool renew = known_free >= worth_renewing;
+  if (!renew) {
+    // A ticket would run out again before there is room.
+    out.enough = known >= wanted;
+    std::erase_if(order, [&](uint32_t n) { return candidates[n].known; });
+    if (out.enough) {
+      return out;
+    }
+  }
   // Gangs want large holes; other tasks go where they leave them.
   std::sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
     const auto key = [&](uint32_t n) {
@@ -58,6 +76,7 @@
     };
     return key(a) < key(b);
   });
+  double expected = renew ? admitted : known;
   for (uint32_t n : order) {
     const double time_of_names =
         need.policy.per_server_ms * static_cast<double>(out.servers.size());
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -252,6 +252,30 @@
   CHECK(choice.servers.empty());
 }
 
+// Load: the cell is full after an outage, and tickets run out while steps wait.
+TEST(Advice, TicketsAreNotRenewedWithoutRoom) {
+  std::vector<AdviceCandidate> servers(8, {0, 4, 0, false, true});
+  AdviceNeed gang = Question(520, 7.4, 6);
+  gang.gang = true;
+  CHECK(ChooseServersToName(servers, gang).servers.empty());
+  CHECK(ChooseServersToName(servers, Question(66, 0.94, 6)).servers.empty());
+  servers[0].free_slots = 4;
+  CHECK(!ChooseServersToName(servers, gang).servers.empty());
+  CHECK(!ChooseServersToName(servers, Question(66, 0.94, 6)).servers.empty());
+}
+
+// Load: too few of the servers asked about admit the step.
+TEST(Advice, MoreServersAreNamedWhereTooFewAreGood) {
+  std::vector<AdviceCandidate> servers(8, {0, 4, 0, false, false});
+  servers[0].known = true;
+  AdviceNeed gang = Question(520, 7.4, 6);
+  gang.gang = true;
+  const auto choice = ChooseServersToName(servers, gang);
+  CHECK(!choice.servers.empty());
+  CHECK(std::find(choice.servers.begin(), choice.servers.end(), 0U) ==
+        choice.servers.end());
+}
+
 TEST(Advice, KnownGoodServersWithRoomComeFirst) {
   std::vector<AdviceCandidate> servers(6, {0, 4, 0, false, false});
   servers[4] = {2, 4, 2000, false, true};
