Fix: [Advice] Quick questions keep an instance of their own when few are left

Cause: with three or five instances left, questions of 90 ms took all that long ones (700 ms) left, with up to 120 ms waiting before each; those of 10 ms waited behind them (line-book and quote waited 350 to 450 ms for their start). Change: which instance asks is a pure function, ChooseChannel; one in five asks quick questions only, and only quick ones may wait 120 ms.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -19,6 +19,18 @@
 constexpr size_t kMaxNamed = 60;
 constexpr double kCheapPart = 0.35;
 
+/// Questions up to this long are quick: any instance may ask them.
+constexpr milliseconds kQuickAdvice{30};
+/// Questions from this length on are long: they may use the first two thirds of
+/// the instances only.
+constexpr milliseconds kLongAdvice{150};
+constexpr size_t kLongPartOf = 3;
+/// One of this many instances asks quick questions only.
+constexpr size_t kQuickPartOf = 5;
+/// Urgent questions may wait this long for an instance that still asks another.
+constexpr milliseconds kQuickBacklog{120};
+constexpr milliseconds kBacklog{30};
+
 /// Slots that a server is expected to give.
 uint32_t SlotsOf(const AdviceCandidate& it, const AdviceNeed& need) {
   const bool ahead = need.gang || IsSlow(need.policy);
@@ -94,4 +106,38 @@
   return out;
 }
 
+size_t ChooseChannel(std::span<const AdviceChannel> channels,
+                     milliseconds expected,
+                     bool urgent,
+                     Time now) {
+  const size_t n = channels.size();
+  const bool quick = expected <= kQuickAdvice;
+  const bool is_long = expected > kLongAdvice;
+  size_t usable = n;
+  if (is_long) {
+    usable = std::max<size_t>(1, n * (kLongPartOf - 1) / kLongPartOf);
+  } else if (!quick && n >= kLongPartOf) {
+    usable = n - std::max<size_t>(1, n / kQuickPartOf);
+  }
+  const milliseconds backlog =
+      !urgent ? milliseconds(0) : (quick ? kQuickBacklog : kBacklog);
+  size_t best = kNoChannel;
+  for (size_t i = 0; i < usable; ++i) {
+    // Long questions go to the first ones, others rather to the last.
+    const size_t k = is_long ? i : usable - 1 - i;
+    if (channels[k].avoid_until > now ||
+        channels[k].busy_until > now + backlog) {
+      continue;
+    }
+    if (channels[k].busy_until <= now) {
+      return k;
+    }
+    if (best == kNoChannel ||
+        channels[k].busy_until < channels[best].busy_until) {
+      best = k;
+    }
+  }
+  return best;
+}
+
 }  // namespace bw
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -43,4 +43,23 @@
 AdviceChoice ChooseServersToName(std::span<const AdviceCandidate> candidates,
                                  const AdviceNeed& need);
 
+/// Calls of one instance to the advice service, which takes one at a time.
+struct AdviceChannel {
+  Time busy_until = kNever;   ///< As far as is known.
+  Time avoid_until = kNever;  ///< It did not answer.
+
+  auto operator<=>(const AdviceChannel&) const = default;
+};
+
+inline constexpr size_t kNoChannel = ~size_t{0};
+
+/// Chooses the instance that asks a question. Of several instances some are
+/// kept for quick questions, and some for all but long ones, so that a burst of
+/// long ones does not hold quick work up. @param expected Time of the question.
+/// @param urgent It may wait for a short while. @return kNoChannel if none can.
+size_t ChooseChannel(std::span<const AdviceChannel> channels,
+                     milliseconds expected,
+                     bool urgent,
+                     Time now);
+
 }  // namespace bw
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -17,11 +17,6 @@
 constexpr milliseconds kBackendsEvery{300};
 /// Without a renewal for this long the store may be away.
 constexpr uint32_t kSettledMs = 1100;
-/// Advice that takes longer may use only part of the instances, so that quick
-/// questions find a free one.
-constexpr milliseconds kLongAdvice{150};
-/// A quick question may wait this long for an instance.
-constexpr milliseconds kAdviceBacklog{120};
 constexpr milliseconds kAdviceSlack{1200};
 constexpr milliseconds kAvoidChannel{3000};
 
@@ -331,31 +326,22 @@
       }));
 }
 
-Owner::AdviceChannel* Owner::PickChannel(milliseconds expected,
-                                         Time now,
-                                         std::string* to) {
+AdviceChannel* Owner::PickChannel(milliseconds expected,
+                                  bool urgent,
+                                  Time now,
+                                  std::string* to) {
   const auto& members = parts_.membership->Members();
-  const bool is_long = expected > kLongAdvice;
-  const size_t usable =
-      is_long ? std::max<size_t>(1, members.size() * 2 / 3) : members.size();
-  AdviceChannel* best = nullptr;
-  for (size_t n = 0; n < members.size(); ++n) {
-    // Long questions go to the first ones, quick ones rather to the last.
-    const std::string& name =
-        is_long ? members[n] : members[members.size() - 1 - n];
-    AdviceChannel& it = channels_[name];
-    if ((is_long && n >= usable) || it.avoid_until > now) {
-      continue;
-    }
-    if (best == nullptr || it.busy_until < best->busy_until) {
-      best = &it;
-      *to = name;
-    }
-    if (best->busy_until <= now) {
-      break;
-    }
+  std::vector<AdviceChannel> channels;
+  channels.reserve(members.size());
+  for (const auto& it : members) {
+    channels.push_back(channels_[it]);
+  }
+  const size_t n = ChooseChannel(channels, expected, urgent, now);
+  if (n == kNoChannel) {
+    return nullptr;
   }
-  return best;
+  *to = members[n];
+  return &channels_[*to];
 }
 
 bool Owner::AskAdvice(const StepRef& step,
@@ -364,9 +350,8 @@
                       bool urgent) {
   const Time now = BootClock::now();
   std::string to;
-  AdviceChannel* channel = PickChannel(expected, now, &to);
-  const Duration backlog = urgent ? kAdviceBacklog : milliseconds(0);
-  if (channel == nullptr || channel->busy_until > now + backlog) {
+  AdviceChannel* channel = PickChannel(expected, urgent, now, &to);
+  if (channel == nullptr) {
     return false;
   }
   channel->busy_until = std::max(channel->busy_until, now) + expected;
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "advice_func.h"
 #include "advisor_base.h"
 #include "cell_base.h"
 #include "config_watch_base.h"
@@ -93,12 +94,10 @@
   template <typename F>
   auto ForThisCell(F step);
 
-  /// When an instance's advice service is free again, as far as is known.
-  struct AdviceChannel {
-    Time busy_until = kNever;
-    Time avoid_until = kNever;
-  };
-  AdviceChannel* PickChannel(milliseconds expected, Time now, std::string* to);
+  AdviceChannel* PickChannel(milliseconds expected,
+                             bool urgent,
+                             Time now,
+                             std::string* to);
 
   const CellOptions options_;
   const size_t max_call_bytes_;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -284,6 +284,33 @@
   CHECK_EQUAL(4U, choice.servers.front());
 }
 
+// Load: all instances but three are lost, and steps of all lengths wait.
+TEST(Advice, QuickQuestionsFindAnInstanceAmongLongOnes) {
+  std::vector<AdviceChannel> channels(3);
+  const auto take = [&](milliseconds expected) {
+    const size_t n = ChooseChannel(channels, expected, true, kStart);
+    if (n != kNoChannel) {
+      channels[n].busy_until = std::max(channels[n].busy_until, kStart) +
+                               std::chrono::duration_cast<Duration>(expected);
+    }
+    return n;
+  };
+  for (int n = 0; n < 10; ++n) {
+    take(milliseconds(700));
+    take(milliseconds(90));
+  }
+  CHECK(take(milliseconds(10)) != kNoChannel);
+}
+
+TEST(Advice, SilentInstancesAreNotAsked) {
+  std::vector<AdviceChannel> channels(2);
+  channels[1].avoid_until = kStart + milliseconds(10);
+  CHECK_EQUAL(0U, ChooseChannel(channels, milliseconds(10), true, kStart));
+  channels[0].avoid_until = kStart + milliseconds(10);
+  CHECK_EQUAL(kNoChannel,
+              ChooseChannel(channels, milliseconds(10), true, kStart));
+}
+
 TEST_GROUP(WallClock){};
 
 TEST(WallClock, JumpIsNotFollowedAtOnce) {
