Feature: [Speed] Servers that turned several times slower are found and avoided

Load: a few servers take 4 to 8 times as long for some seconds; short work that lands there is late. Run times are compared with their queue's estimates, weighed by how well these hold (0.2 to 0.9 off here), and forgotten within seconds; a run that goes on too long counts before its end. Work waits up to 1 s for others.

--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -36,7 +36,7 @@
   for (uint32_t n = 0; n < pass->rooms.size(); ++n) {
     const ServerRoom& room = pass->rooms[n];
     const BackendId& id = pass->servers[n]->entry.id;
-    if (!room.usable || advice.bad.contains(id)) {
+    if (!MayUse(room, need) || advice.bad.contains(id)) {
       continue;
     }
     const auto good = advice.good.find(id);
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -16,6 +16,7 @@
 #include "order_func.h"
 #include "platform/advice.h"
 #include "platform/backend.h"
+#include "speed_base.h"
 
 namespace bw {
 
@@ -180,6 +181,7 @@
     Resources need;
     TeamId team;
     bool foreign = false;    ///< Its job is not known; its needs neither.
+    bool timed = false;      ///< Started here from the beginning of its work.
     Time sent = kNever;      ///< When the start was sent.
     Time answered = kNever;  ///< When the start was answered.
     Time stop_sent = kNever;
@@ -323,6 +325,7 @@
                    Time now);
   void Adopt(Server* server, const ListedRun& row, Time now);
   void NoteIdle(Server* server, const ListedRun& row, LiveRun* live, Time now);
+  const StepSpec* SpecOfTimedRun(const RunRef& run, const LiveRun& live) const;
   void EraseRun(Server* server, const RunRef& run);
   void OnEnd(Server* server, const ListedEnd& end, Time now);
   void OnGone(Server* server, const RunRef& run, const char* why, Time now);
@@ -419,6 +422,7 @@
   std::map<TeamId, Resources> usage_;
   std::map<QueueId, double> good_share_;  ///< Of servers named to the advice.
   ShareMeter shares_;
+  SpeedMeter speeds_;
   std::map<JobId, Time> over_share_;  ///< Jobs found beyond the rate lately.
   std::map<std::string, uint32_t> racks_;
   Time now_ = kNever;  ///< Of the last tick or run.
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -17,6 +17,7 @@
   std::vector<Server*> servers;
   std::vector<ServerRoom> rooms;  ///< Of the step that is being placed.
   std::vector<Resources> free;
+  std::vector<bool> bad;  ///< Of each server: far slower than others.
   uint32_t reservations = 0;
 };
 
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds kReservationLife{200};
 /// Steps without room that one pass looks at; the rest comes after them.
 constexpr uint32_t kMaxUnplaced = 150;
+/// Work waits this long for other servers than one that is several times
+/// slower; most tasks take about as long.
+constexpr milliseconds kBadPatience{1000};
 
 int64_t SignedMs(uint64_t n) {
   return static_cast<int64_t>(n);
@@ -61,6 +64,7 @@
       server.pass_index = static_cast<uint32_t>(pass->servers.size());
       pass->servers.push_back(&server);
       pass->free.push_back(server.entry.capacity.Without(server.used));
+      pass->bad.push_back(speeds_.IsBad(server.entry.id, pass->now));
     }
   }
 }
@@ -141,6 +145,7 @@
     room.total = server.entry.capacity;
     room.free = pass->free[n];
     room.rack = server.rack;
+    room.bad = pass->bad[n];
     if (auto it = of_step.find(server.entry.id); it != of_step.end()) {
       room.of_step = it->second;
     }
@@ -192,6 +197,7 @@
                       uint32_t count,
                       Time now) const {
   StepNeed out;
+  out.avoid_bad = now - step.waits_since < kBadPatience;
   out.task = RoomOf(spec);
   out.count = count;
   out.gang = spec.gang;
@@ -396,6 +402,7 @@
     return;
   }
   live->sent = now;
+  live->timed = task->saved.empty();
   order.run = run;
   order.payload = job->spec.payload;
   order.fencing_token = options_.fencing_token;
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -52,6 +52,12 @@
   const auto live = server->runs.find(end.run);
   const uint32_t ran_ms =
       live == server->runs.end() ? 0 : AgeMs(live->second.sent, now);
+  if (end.end == RunEnd::kDone && live != server->runs.end() && ran_ms > 0) {
+    if (const StepSpec* spec = SpecOfTimedRun(end.run, live->second)) {
+      speeds_.OnDone(jobs_.at(end.run.task.job).queue, server->entry.id,
+                     static_cast<double>(spec->estimate_ms), ran_ms, now);
+    }
+  }
   EraseRun(server, end.run);
   Job* job = nullptr;
   Step* step = nullptr;
@@ -91,6 +97,20 @@
   }
 }
 
+/// @return What the run does, if how long it takes tells its server's speed:
+/// members of a gang wait for each other, and data may be far.
+const StepSpec* Cell::SpecOfTimedRun(const RunRef& run,
+                                     const LiveRun& live) const {
+  const auto job = jobs_.find(run.task.job);
+  if (!live.timed || live.sent == kNever || job == jobs_.end()) {
+    return nullptr;
+  }
+  const StepSpec& spec = job->second.spec.steps[run.task.step];
+  const bool alone = !spec.gang && !spec.perpetual && !spec.fills &&
+                     !spec.same_rack && spec.rack.empty();
+  return alone && spec.estimate_ms > 0 ? &spec : nullptr;
+}
+
 /// A run that surely does not and will not run, without an end on the list.
 void Cell::OnGone(Server* server,
                   const RunRef& run,
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -116,6 +116,7 @@
       lost.push_back(it.first);
     }
   }
+  speeds_.Forget(server->entry.id);
   server->known = false;
   server->kept = false;
   server->keeping = false;
@@ -466,6 +467,12 @@
       live->answered = now;
     }
     NoteIdle(server, row, live, now);
+    const StepSpec* spec = SpecOfTimedRun(row.run, *live);
+    if (spec != nullptr && live->phase == RunPhase::kRunning) {
+      speeds_.OnRunning(jobs_.at(row.run.task.job).queue, server->entry.id,
+                        static_cast<double>(spec->estimate_ms),
+                        1 + AgeMs(live->sent, now), now);
+    }
   }
   std::vector<RunRef> gone;
   for (const auto& it : server->runs) {
--- a/src/fit.cc
+++ b/src/fit.cc
@@ -15,6 +15,7 @@
 
 /// Orders servers for a step: the lowest goes first.
 struct Preference {
+  bool bad = false;
   uint32_t penalty = 0;
   uint32_t far = 0;
   uint64_t rank = 0;
@@ -30,11 +31,7 @@
                  std::min<uint64_t>(server.free.millicores,
                                     std::numeric_limits<uint32_t>::max()))
           : server.free.millicores;
-  return {server.penalty, server.near_data ? 0U : 1U, rank};
-}
-
-bool MayUse(const ServerRoom& server, const StepNeed& need) {
-  return server.usable && (!need.near_only || server.near_data);
+  return {server.bad, server.penalty, server.near_data ? 0U : 1U, rank};
 }
 
 /// Servers that have room for a task, best first.
@@ -124,6 +121,11 @@
 
 }  // namespace
 
+bool MayUse(const ServerRoom& server, const StepNeed& need) {
+  return server.usable && (!need.near_only || server.near_data) &&
+         (!need.avoid_bad || !server.bad);
+}
+
 uint32_t SlotsIn(const ServerRoom& server,
                  const Resources& room,
                  const StepNeed& need) {
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -20,6 +20,7 @@
   uint32_t penalty = 0;   ///< Recent failures and slowness; 0 is sound.
   bool usable = true;     ///< Reachable, not leaving, with a valid ticket.
   bool near_data = true;  ///< On the rack where the step's data is.
+  bool bad = false;       ///< Several times slower than others now.
 
   bool operator==(const ServerRoom&) const = default;
 };
@@ -32,6 +33,7 @@
   bool same_rack = false;   ///< Only within one rack.
   bool near_only = false;   ///< Only where `near_data` is set.
   bool spread = false;      ///< Few tasks on each server, not packed.
+  bool avoid_bad = false;   ///< Rather waits than use a bad server.
   uint32_t per_server = 0;  ///< Most on one server; 0: any number.
 
   bool operator==(const StepNeed&) const = default;
@@ -39,6 +41,9 @@
 
 inline constexpr uint32_t kNoServer = 0xffffffff;
 
+/// @return True if the step may use the server.
+bool MayUse(const ServerRoom& server, const StepNeed& need);
+
 /// @return How many tasks fit into `room` on this server.
 uint32_t SlotsIn(const ServerRoom& server,
                  const Resources& room,
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -252,6 +252,23 @@
   CHECK(choice.servers.empty());
 }
 
+// Load: some servers turn several times slower while the cell is busy.
+TEST(Fit, WorkWaitsForOthersThanBadServersForAWhile) {
+  std::vector<ServerRoom> servers(2);
+  for (auto& it : servers) {
+    it.total = it.free = {4000, 4000, 0};
+  }
+  servers[0].bad = true;
+  StepNeed need;
+  need.task = {1000, 1000, 0};
+  CHECK_EQUAL(1U, FitStep(servers, need).front());
+  servers.resize(1);
+  need.avoid_bad = true;
+  CHECK_EQUAL(kNoServer, FitStep(servers, need).front());
+  need.avoid_bad = false;
+  CHECK_EQUAL(0U, FitStep(servers, need).front());
+}
+
 // Load: the cell is full after an outage, and tickets run out while steps wait.
 TEST(Advice, TicketsAreNotRenewedWithoutRoom) {
   std::vector<AdviceCandidate> servers(8, {0, 4, 0, false, true});
--- /dev/null
+++ b/test/speed_test.cc
@@ -0,0 +1,108 @@
+// How slow backend servers are, learned from the runs that end there.
+#include <CppUTest/TestHarness.h>
+
+#include <cmath>
+#include <random>
+#include <string>
+
+#include "../src/speed_base.h"
+
+namespace bw::test {
+namespace {
+
+const Time kStart(milliseconds(100'000));
+const QueueId kGood("good-estimates");
+const QueueId kRough("rough-estimates");
+
+BackendId ServerNo(int n) {
+  return BackendId("s" + std::to_string(n));
+}
+
+/// Runs of two queues on 12 servers, each with its own factor.
+class Load {
+ public:
+  double factor(int server) const { return factors_[server]; }
+  void set_factor(int server, double factor) { factors_[server] = factor; }
+  SpeedMeter& meter() { return meter_; }
+  Time now() const { return now_; }
+
+  /// Each server ends one run a second of each queue.
+  void Pass(int seconds) {
+    std::normal_distribution<double> good(0, 0.25);
+    std::normal_distribution<double> rough(0, 0.9);
+    for (int second = 0; second < seconds; ++second) {
+      now_ += milliseconds(1000);
+      for (int n = 0; n < kServers; ++n) {
+        meter_.OnDone(kGood, ServerNo(n), 2000,
+                      2000 * factors_[n] * std::exp(good(random_)), now_);
+        meter_.OnDone(kRough, ServerNo(n), 600,
+                      600 * factors_[n] * std::exp(rough(random_)), now_);
+      }
+    }
+  }
+
+  int CountBad() const {
+    int out = 0;
+    for (int n = 0; n < kServers; ++n) {
+      out += meter_.IsBad(ServerNo(n), now_) ? 1 : 0;
+    }
+    return out;
+  }
+
+  static constexpr int kServers = 12;
+
+ private:
+  SpeedMeter meter_;
+  Time now_ = kStart;
+  std::mt19937_64 random_{7};
+  double factors_[kServers] = {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1};
+};
+
+}  // namespace
+
+TEST_GROUP(Speed){};
+
+TEST(Speed, UnknownServersAreUsual) {
+  const SpeedMeter meter;
+  CHECK(!meter.IsBad(ServerNo(0), kStart));
+}
+
+// Load: a third of the machines is of a kind that takes 1.3 times as long, and
+// the estimates of one queue are rough.
+TEST(Speed, KindsOfMachinesAreNotTakenForTrouble) {
+  Load load;
+  for (int n = 0; n < 4; ++n) {
+    load.set_factor(n, 1.3);
+  }
+  for (int n = 0; n < 30; ++n) {
+    load.Pass(1);
+    LONGS_EQUAL(0, load.CountBad());
+  }
+}
+
+// Load: a server turns seven times slower for some seconds.
+TEST(Speed, BadServerIsFoundWhileItsRunGoesOnAndIsLetBack) {
+  Load load;
+  load.Pass(20);
+  const BackendId bad = ServerNo(0);
+  load.meter().OnRunning(kGood, bad, 2000, 2500, load.now());
+  CHECK(!load.meter().IsBad(bad, load.now()));
+  load.meter().OnRunning(kGood, bad, 2000, 6000, load.now());
+  CHECK(load.meter().IsBad(bad, load.now()));
+  load.set_factor(0, 7);
+  load.Pass(2);
+  CHECK(load.meter().IsBad(bad, load.now()));
+  load.set_factor(0, 1);
+  load.Pass(15);
+  CHECK(!load.meter().IsBad(bad, load.now()));
+}
+
+TEST(Speed, AnotherLifeIsUsualAgain) {
+  Load load;
+  load.set_factor(0, 7);
+  load.Pass(20);
+  load.meter().Forget(ServerNo(0));
+  CHECK(!load.meter().IsBad(ServerNo(0), load.now()));
+}
+
+}  // namespace bw::test
