--- a/src/cell.cc
+++ b/src/cell.cc
@@ -502,7 +502,8 @@
 
 void Cell::Run(Time now) {
   now_ = now;
-  if (port_->MayAct() && now >= next_pass_) {
+  // Starts whose record is not kept would hold room until their tickets lapse.
+  if (port_->MayAct() && port_->IsSettled() && now >= next_pass_) {
     const Time began = BootClock::now();
     Place(now);
     // Passes take at most a third of the core thread's time.
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -73,7 +73,7 @@
   /// @return True while leases may be renewed: while the owner may act, and
   /// for a given time after, which a new owner waits out.
   virtual bool MayRenew(milliseconds after) const = 0;
-  /// @return True while ownership is renewed in time.
+  /// @return True while ownership is renewed and records are kept in time.
   virtual bool IsSettled() const = 0;
 };
 
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -15,7 +15,8 @@
 constexpr milliseconds kRetryPause{150};
 /// The backend servers' entries are read this often.
 constexpr milliseconds kBackendsEvery{300};
-/// Without a renewal for this long the store may be away.
+/// Without a renewal or an answer to an append for this long the store, or a
+/// part of it, may be away; a slow one takes 0.8 s.
 constexpr uint32_t kSettledMs = 1100;
 constexpr milliseconds kAdviceSlack{1200};
 constexpr milliseconds kAvoidChannel{3000};
@@ -446,7 +447,9 @@
 }
 
 bool Owner::IsSettled() const {
-  return parts_.membership->RenewalAgeMs(BootClock::now()) < kSettledMs;
+  const Time now = BootClock::now();
+  return parts_.membership->RenewalAgeMs(now) < kSettledMs &&
+         (!log_ || log_->StalledFor(now) < milliseconds(kSettledMs));
 }
 
 }  // namespace bw
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -85,6 +85,7 @@
   if (!waiting_.empty() && calls_.size() < most && soon) {
     last_call_at_ = now;
     calls_.push_back(NextCall());
+    calls_.back().first_sent = now;
   }
   for (auto& it : calls_) {
     if (!it.stored && !it.sending && now >= it.send_at) {
@@ -94,6 +95,10 @@
   FinishStored();
 }
 
+Duration RecordLog::StalledFor(Time now) const {
+  return calls_.empty() ? Duration::zero() : now - calls_.front().first_sent;
+}
+
 void RecordLog::Send(Call* call) {
   call->sending = true;
   platform::StoreAppend append;
--- a/src/record_log_base.h
+++ b/src/record_log_base.h
@@ -36,6 +36,10 @@
   /// Sends what is queued, and again what was refused.
   void Flush(Time now);
 
+  /// @return How long the oldest call under way has had no answer; zero if none
+  /// is under way.
+  Duration StalledFor(Time now) const;
+
   bool IsEmpty() const { return calls_.empty() && waiting_.empty(); }
 
  private:
@@ -51,6 +55,7 @@
     bool stored = false;
     bool sending = false;
     Time send_at = kNever;
+    Time first_sent = kNever;
   };
   Call NextCall();
   void Send(Call* call);
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -283,6 +283,20 @@
   CHECK_EQUAL(0, it.Running(First(kJob)));
 }
 
+// Load: records are not kept for seconds; jobs that were taken before wait.
+TEST(Cell, NothingIsPlacedWhileRecordsAreNotKept) {
+  CellBench it(1);
+  it.cell->Submit(JobId(kJob), TeamId("t0"), QueueId("q"),
+                  CellBench::Tasks(1, 1000), it.now, [](const CellOutcome&) {});
+  it.port.StoreAll();
+  it.port.store_well = false;
+  it.Pass(3000);
+  CHECK_EQUAL(0U, it.cell->Count().runs);
+  it.port.store_well = true;
+  it.Pass(500);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+}
+
 // Load: the store is away; a job is placed and then refused, and its caller
 // hands it in again.
 TEST(Cell, RefusedJobHandedInAgainRunsOnce) {
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -262,6 +262,24 @@
   CHECK(it.log->Withdraw(second));
 }
 
+// Load: a part of the store is away, so ownership is renewed as ever while
+// records are not kept.
+TEST(RecordLog, StallLastsFromTheFirstSendToTheAnswer) {
+  LogBench it(3);
+  it.store.mood = fake::MemoryStore::Mood::kRefuses;
+  const Time sent = BootClock::now();
+  CHECK(it.log->StalledFor(sent) == Duration::zero());
+  it.log->Keep({platform::MakeKeyedRecord("a", "1")}, [] {});
+  it.log->Flush(sent);
+  it.loop.Start();
+  it.Pass(100);
+  CHECK(it.log->StalledFor(sent + milliseconds(3000)) == milliseconds(3000));
+  it.loop.Post([&] { it.store.mood = fake::MemoryStore::Mood::kWell; });
+  it.Pass(200);
+  CHECK(it.log->StalledFor(sent + milliseconds(3000)) == Duration::zero());
+  it.loop.Stop();
+}
+
 TEST_GROUP(ConfigWatch){};
 
 namespace {
