Fix: [Advice] An owner that knows no other instance yet does not crash

Ruled out: configuration, records. Change: without instances nobody is asked; an instance always knows itself. The test crashes on the old code.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -111,6 +111,9 @@
                      bool urgent,
                      Time now) {
   const size_t n = channels.size();
+  if (n == 0) {
+    return kNoChannel;
+  }
   const bool quick = expected <= kQuickAdvice;
   const bool is_long = expected > kLongAdvice;
   size_t usable = n;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -55,6 +55,7 @@
                        platform::Store* store,
                        Loop* core)
     : options_(std::move(options)), store_(store), core_(core) {
+  members_ = {options_.address};
   presence_ = NewMemberName();
   member_ = NewMemberName();
 }
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -319,6 +319,13 @@
   CHECK(take(milliseconds(10)) != kNoChannel);
 }
 
+// Load: an owner has taken over and does not know the other instances yet.
+TEST(Advice, WithoutInstancesNobodyIsAsked) {
+  for (const int ms : {10, 90, 700}) {
+    CHECK_EQUAL(kNoChannel, ChooseChannel({}, milliseconds(ms), true, kStart));
+  }
+}
+
 TEST(Advice, SilentInstancesAreNotAsked) {
   std::vector<AdviceChannel> channels(2);
   channels[1].avoid_until = kStart + milliseconds(10);
