Fix: [Advice] Instances that do not answer get no more questions

Cause: an instance that lost power or was cut off took a question each 10 ms for 1.2 s, until the first timed out, and again after 3 s; questions to a killed one came back at once and waited 120 ms. Change: AdvicePool (a pure state machine) holds an instance back while an answer is overdue by 150 ms, gives up after 400 ms instead of 1,200, and puts questions that did not leave to another instance at once. Load and bound: AdvicePool.*.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -128,7 +128,9 @@
   for (size_t i = 0; i < usable; ++i) {
     // Long questions go to the first ones, others rather to the last.
     const size_t k = is_long ? i : usable - 1 - i;
-    if (channels[k].avoid_until > now ||
+    const bool overdue =
+        channels[k].overdue_at != kNever && channels[k].overdue_at <= now;
+    if (overdue || channels[k].avoid_until > now ||
         channels[k].busy_until > now + backlog) {
       continue;
     }
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -47,6 +47,7 @@
 struct AdviceChannel {
   Time busy_until = kNever;   ///< As far as is known.
   Time avoid_until = kNever;  ///< It did not answer.
+  Time overdue_at = kNever;   ///< An answer is overdue from then; kNever: none.
 
   auto operator<=>(const AdviceChannel&) const = default;
 };
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -81,7 +81,9 @@
   }
   AdviceState& advice = step->advice;
   advice.asking = false;
-  advice.next_ask = now + (answer.answered ? kAskPause : 4 * kAskPause);
+  if (!answer.not_sent) {
+    advice.next_ask = now + (answer.answered ? kAskPause : 4 * kAskPause);
+  }
   if (!answer.answered) {
     return;
   }
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -18,8 +18,6 @@
 /// Without a renewal or an answer to an append for this long the store, or a
 /// part of it, may be away; a slow one takes 0.8 s.
 constexpr uint32_t kSettledMs = 1100;
-constexpr milliseconds kAdviceSlack{1200};
-constexpr milliseconds kAvoidChannel{3000};
 
 const platform::Partition& BackendPartition() {
   static const platform::Partition out{platform::kBackendTopic, 0};
@@ -53,7 +51,7 @@
   loaded_ = false;
   backends_known_ = false;
   reading_backends_ = false;
-  channels_.clear();
+  advice_pool_ = AdvicePool();
   CellOptions options = options_;
   options.fencing_token = epoch_;
   options.wall_ms = wall_.Read(gained_at_);
@@ -327,38 +325,23 @@
       }));
 }
 
-AdviceChannel* Owner::PickChannel(milliseconds expected,
-                                  bool urgent,
-                                  Time now,
-                                  std::string* to) {
-  const auto& members = parts_.membership->Members();
-  std::vector<AdviceChannel> channels;
-  channels.reserve(members.size());
-  for (const auto& it : members) {
-    channels.push_back(channels_[it]);
-  }
-  const size_t n = ChooseChannel(channels, expected, urgent, now);
-  if (n == kNoChannel) {
-    return nullptr;
-  }
-  *to = members[n];
-  return &channels_[*to];
-}
-
 bool Owner::AskAdvice(const StepRef& step,
                       const std::vector<BackendId>& backends,
                       milliseconds expected,
                       bool urgent) {
   const Time now = BootClock::now();
-  std::string to;
-  AdviceChannel* channel = PickChannel(expected, urgent, now, &to);
-  if (channel == nullptr) {
+  const std::string to =
+      advice_pool_.Take(parts_.membership->Members(), expected, urgent, now);
+  if (to.empty()) {
     return false;
   }
-  channel->busy_until = std::max(channel->busy_until, now) + expected;
-  const milliseconds give_up =
-      std::chrono::duration_cast<milliseconds>(channel->busy_until - now) +
-      kAdviceSlack;
+  const milliseconds give_up = advice_pool_.GiveUpAfter(to, now);
+  const auto finish = [this, tenure = tenure_, step, backends,
+                       to](const platform::AdviceAnswer& answer) {
+    if (tenure == tenure_) {
+      OnAdvice(to, step, backends, answer);
+    }
+  };
   std::vector<std::string> names;
   names.reserve(backends.size());
   for (const auto& it : backends) {
@@ -366,13 +349,7 @@
   }
   if (parts_.membership->IsSelf(to)) {
     parts_.advisor->Ask(platform::StepName(step), std::move(names), give_up,
-                        [this, tenure = tenure_, step,
-                         backends](const platform::AdviceAnswer& answer) {
-                          if (tenure == tenure_) {
-                            cell_->OnAdvice(step, backends, answer,
-                                            BootClock::now());
-                          }
-                        });
+                        finish);
     return true;
   }
   proto::Envelope question;
@@ -382,22 +359,13 @@
   for (auto& it : names) {
     call->add_backends(std::move(it));
   }
-  const auto finish = [this, tenure = tenure_, step, backends,
-                       to](platform::AdviceAnswer answer) {
-    parts_.core->PostWaiting([this, tenure, step, backends, to, answer] {
-      if (tenure != tenure_) {
-        return;
-      }
-      const Time at = BootClock::now();
-      if (!answer.answered && !answer.overloaded) {
-        channels_[to].avoid_until = at + kAvoidChannel;
-      }
-      cell_->OnAdvice(step, backends, answer, at);
-    });
+  const auto post = [core = parts_.core,
+                     finish](const platform::AdviceAnswer& answer) {
+    core->PostWaiting([finish, answer] { finish(answer); });
   };
   mesh_->Ask(
       to, std::move(question), give_up,
-      [finish](const proto::Envelope* envelope) {
+      [post](const proto::Envelope* envelope) {
         platform::AdviceAnswer answer;
         if (envelope != nullptr && envelope->has_advice_reply()) {
           const auto& reply = envelope->advice_reply();
@@ -408,17 +376,33 @@
             answer.good.push_back({BackendId(it.backend()), it.text()});
           }
         }
-        finish(std::move(answer));
+        post(answer);
       },
-      [finish] {
-        // No connection yet: it is being made.
+      [post] {
         platform::AdviceAnswer answer;
-        answer.overloaded = true;
-        finish(std::move(answer));
+        answer.not_sent = true;
+        post(answer);
       });
   return true;
 }
 
+void Owner::OnAdvice(const std::string& from,
+                     const StepRef& step,
+                     const std::vector<BackendId>& asked,
+                     const platform::AdviceAnswer& answer) {
+  const Time now = BootClock::now();
+  const QuestionEnd end = answer.answered     ? QuestionEnd::kAnswered
+                          : answer.overloaded ? QuestionEnd::kOverloaded
+                          : answer.not_sent   ? QuestionEnd::kNotSent
+                                              : QuestionEnd::kSilent;
+  if (end == QuestionEnd::kSilent) {
+    LogEvent(Part::kPlacer, "advice_silent",
+             {{"instance", from}, {"step", platform::StepName(step)}});
+  }
+  advice_pool_.OnEnd(from, end, now);
+  cell_->OnAdvice(step, asked, answer, now);
+}
+
 uint64_t Owner::Keep(std::vector<std::string> records,
                      std::function<void()> done) {
   return log_->Keep(std::move(records), std::move(done));
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "advice_func.h"
+#include "advice_pool_base.h"
 #include "advisor_base.h"
 #include "cell_base.h"
 #include "config_watch_base.h"
@@ -94,10 +94,10 @@
   template <typename F>
   auto ForThisCell(F step);
 
-  AdviceChannel* PickChannel(milliseconds expected,
-                             bool urgent,
-                             Time now,
-                             std::string* to);
+  void OnAdvice(const std::string& from,
+                const StepRef& step,
+                const std::vector<BackendId>& asked,
+                const platform::AdviceAnswer& answer);
 
   const CellOptions options_;
   const size_t max_call_bytes_;
@@ -118,7 +118,7 @@
   Time next_backend_read_ = kNever;
   std::vector<std::string> listed_;  ///< While the newest entries are read.
   bool first_backend_page_ = true;
-  std::map<std::string, AdviceChannel> channels_;
+  AdvicePool advice_pool_;
 };
 
 }  // namespace bw
--- a/src/platform/advice.h
+++ b/src/platform/advice.h
@@ -15,6 +15,7 @@
 struct AdviceAnswer {
   bool answered = false;  ///< False: nothing is known.
   bool overloaded = false;
+  bool not_sent = false;  ///< The question left nowhere.
   std::vector<Ticket> good;
   uint64_t valid_ms = 0;  ///< 0: as the queue's policy says.
 
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "../src/advice_func.h"
+#include "../src/advice_pool_base.h"
 #include "../src/fit_func.h"
 #include "../src/order_func.h"
 #include "../src/platform/backend.h"
@@ -335,6 +335,44 @@
               ChooseChannel(channels, milliseconds(10), true, kStart));
 }
 
+TEST_GROUP(AdvicePool){};
+
+// Load: an instance loses power while quick questions come 100 times a second.
+TEST(AdvicePool, SilentInstanceGetsFewQuestions) {
+  const std::vector<std::string> members = {"a", "b"};
+  constexpr milliseconds kQuestion{10};
+  AdvicePool pool;
+  int lost = 0;
+  std::vector<Time> gives_up;
+  for (int ms = 0; ms < 3000; ms += 10) {
+    const Time now = kStart + milliseconds(ms);
+    while (!gives_up.empty() && gives_up.front() <= now) {
+      pool.OnEnd("b", QuestionEnd::kSilent, now);
+      gives_up.erase(gives_up.begin());
+    }
+    const std::string to = pool.Take(members, kQuestion, true, now);
+    if (to == "b") {
+      ++lost;
+      gives_up.push_back(now + pool.GiveUpAfter(to, now));
+    } else if (to == "a") {
+      pool.OnEnd("a", QuestionEnd::kAnswered, now + kQuestion);
+    }
+  }
+  CHECK(lost > 0);
+  CHECK(lost <= 20);
+}
+
+// Load: an instance's process is killed; its questions do not leave.
+TEST(AdvicePool, QuestionThatDidNotLeaveGoesToAnotherAtOnce) {
+  const std::vector<std::string> members = {"a", "b"};
+  AdvicePool pool;
+  const std::string first = pool.Take(members, milliseconds(10), true, kStart);
+  pool.OnEnd(first, QuestionEnd::kNotSent, kStart);
+  const std::string second = pool.Take(members, milliseconds(10), true, kStart);
+  CHECK(!second.empty());
+  CHECK(first != second);
+}
+
 TEST_GROUP(WallClock){};
 
 TEST(WallClock, JumpIsNotFollowedAtOnce) {
