Feature: [Fit] Room for gangs is kept where it is complete first

Cause: room was kept on the servers with the most free now, whatever ran there, and what was kept twice was cut off at zero. Ruled out: advice (tickets and instances were there). Change: ReserveForGang takes the places that become free first, by the estimates of what runs there, after what is owed to gangs that came first.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -394,6 +394,7 @@
   void SendStart(const UnsentStart& start, Time now);
   uint64_t NextRun(const Job& job, const Task& task) const;
   bool Reserve(Pass* pass, const StepNeed& need);
+  static std::vector<Release> ReleasesOf(const Server& server, Time now);
   Resources RoomOf(const StepSpec& spec) const;
 
   // cell_record.cc: what is kept.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -64,6 +64,7 @@
       server.pass_index = static_cast<uint32_t>(pass->servers.size());
       pass->servers.push_back(&server);
       pass->free.push_back(server.entry.capacity.Without(server.used));
+      pass->held.emplace_back();
       pass->bad.push_back(speeds_.IsBad(server.entry.id, pass->now));
     }
   }
@@ -143,7 +144,8 @@
     ServerRoom& room = pass->rooms[n];
     room = {};
     room.total = server.entry.capacity;
-    room.free = pass->free[n];
+    room.free = pass->free[n].Without(pass->held[n]);
+    room.owed = pass->held[n].Without(pass->free[n]);
     room.rack = server.rack;
     room.bad = pass->bad[n];
     if (auto it = of_step.find(server.entry.id); it != of_step.end()) {
@@ -287,7 +289,7 @@
   need.count -= placed;
   if (need.count > 0) {
     for (size_t n = 0; n < rooms.size(); ++n) {
-      rooms[n].free = pass->free[n];
+      rooms[n].free = pass->free[n].Without(pass->held[n]);
     }
     pass->rooms = std::move(rooms);
     PrepareRoom(pass, job, ref, step, need, urgent);
@@ -316,17 +318,41 @@
 /// Keeps room for a gang: what comes later in this pass may not take it.
 /// @return False if the gang does not fit even on empty servers.
 bool Cell::Reserve(Pass* pass, const StepNeed& need) {
-  const auto kept = ReserveForGang(pass->rooms, need);
+  if (pass->releases.empty()) {
+    for (const Server* it : pass->servers) {
+      pass->releases.push_back(ReleasesOf(*it, pass->now));
+    }
+  }
+  const auto kept = ReserveForGang(pass->rooms, pass->releases, need);
   if (kept.empty()) {
     return false;
   }
   ++pass->reservations;
   for (size_t n = 0; n < kept.size(); ++n) {
-    pass->free[n] = pass->free[n].Without(need.task.Times(kept[n]));
+    pass->held[n] = pass->held[n] + need.task.Times(kept[n]);
   }
   return true;
 }
 
+/// When the server's runs give their room back, by their estimates. One that
+/// has outlasted its estimate is taken to go on for a part of it.
+std::vector<Release> Cell::ReleasesOf(const Server& server, Time now) {
+  constexpr int64_t kOutlastPart = 4;
+  constexpr int64_t kUnknownMs = 3000;
+  std::vector<Release> out;
+  for (const auto& [run, live] : server.runs) {
+    const int64_t estimate =
+        live.estimate_ms > 0 ? SignedMs(live.estimate_ms) : kUnknownMs;
+    const int64_t ran =
+        live.sent == kNever ? 0 : SignedMs(AgeMs(live.sent, now));
+    const bool stopping = live.phase == RunPhase::kStopping;
+    out.push_back(
+        {stopping ? 0 : std::max(estimate - ran, estimate / kOutlastPart),
+         live.need});
+  }
+  return out;
+}
+
 void Cell::StartTask(Pass* pass,
                      Job* job,
                      const TaskRef& ref,
--- a/src/fit.cc
+++ b/src/fit.cc
@@ -102,21 +102,40 @@
   return best;
 }
 
-std::vector<uint32_t> ReserveAmong(std::span<const ServerRoom> servers,
-                                   std::vector<uint32_t> order,
-                                   const StepNeed& need) {
-  std::stable_sort(order.begin(), order.end(), [&](uint32_t a, uint32_t b) {
-    return servers[a].free.millicores > servers[b].free.millicores;
-  });
-  std::vector<uint32_t> out(servers.size());
-  uint32_t left = need.count;
-  for (uint32_t n : order) {
-    const uint32_t take =
-        std::min(left, SlotsIn(servers[n], servers[n].total, need));
-    out[n] = take;
-    left -= take;
+/// A place for one task on a server, and when it is free.
+struct TaskPlace {
+  int64_t in_ms = 0;
+  uint64_t busy_millicores = 0;  ///< Of the server, now.
+  uint32_t server = 0;
+
+  auto operator<=>(const TaskPlace&) const = default;
+};
+
+/// A run that outlasts all estimates.
+constexpr int64_t kNobodyKnowsMs = 60'000;
+
+/// Adds the places of one server in the order in which they become free.
+void AddPlaces(const ServerRoom& server,
+               uint32_t n,
+               std::vector<Release> releases,
+               const StepNeed& need,
+               std::vector<TaskPlace>* out) {
+  std::sort(
+      releases.begin(), releases.end(),
+      [](const Release& a, const Release& b) { return a.in_ms < b.in_ms; });
+  const uint32_t most = SlotsIn(server, server.total, need);
+  const uint64_t busy = server.total.Without(server.free).millicores;
+  uint32_t found = std::min(most, SlotsIn(server, server.free, need));
+  out->insert(out->end(), found, {0, busy, n});
+  Resources released;
+  for (const auto& it : releases) {
+    released = released + it.room;
+    const Resources room = server.free + released.Without(server.owed);
+    for (; found < std::min(most, SlotsIn(server, room, need)); ++found) {
+      out->push_back({it.in_ms, busy, n});
+    }
   }
-  return left == 0 ? out : std::vector<uint32_t>();
+  out->insert(out->end(), most - found, {kNobodyKnowsMs, busy, n});
 }
 
 }  // namespace
@@ -152,21 +171,38 @@
   return out;
 }
 
-std::vector<uint32_t> ReserveForGang(std::span<const ServerRoom> servers,
-                                     const StepNeed& need) {
-  std::map<uint32_t, std::vector<uint32_t>> racks;
+std::vector<uint32_t> ReserveForGang(
+    std::span<const ServerRoom> servers,
+    std::span<const std::vector<Release>> releases,
+    const StepNeed& need) {
+  std::map<uint32_t, std::vector<TaskPlace>> racks;
   for (uint32_t n = 0; n < servers.size(); ++n) {
     if (MayUse(servers[n], need)) {
-      racks[need.same_rack ? servers[n].rack : 0].push_back(n);
+      AddPlaces(servers[n], n,
+                n < releases.size() ? releases[n] : std::vector<Release>(),
+                need, &racks[need.same_rack ? servers[n].rack : 0]);
     }
   }
+  const std::vector<TaskPlace>* best = nullptr;
   for (auto& it : racks) {
-    auto out = ReserveAmong(servers, std::move(it.second), need);
-    if (!out.empty()) {
-      return out;
+    auto& places = it.second;
+    if (places.size() < need.count) {
+      continue;
+    }
+    std::sort(places.begin(), places.end());
+    places.resize(need.count);
+    if (best == nullptr || places.back().in_ms < best->back().in_ms) {
+      best = &places;
     }
   }
-  return {};
+  std::vector<uint32_t> out;
+  if (best != nullptr && need.count > 0) {
+    out.resize(servers.size());
+    for (const auto& it : *best) {
+      ++out[it.server];
+    }
+  }
+  return out;
 }
 
 }  // namespace bw
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -15,6 +15,7 @@
 struct ServerRoom {
   Resources total;
   Resources free;         ///< Less what is kept for steps that come first.
+  Resources owed;         ///< Kept for them beyond what is free now.
   uint32_t rack = 0;      ///< Number of the rack.
   uint32_t of_step = 0;   ///< Tasks of the same step on it.
   uint32_t penalty = 0;   ///< Recent failures and slowness; 0 is sound.
@@ -55,10 +56,22 @@
 std::vector<uint32_t> FitStep(std::span<const ServerRoom> servers,
                               const StepNeed& need);
 
-/// Chooses where to keep room for a gang that does not fit yet: the servers
-/// with the most free room now. @return Tasks for each server; empty if the
-/// gang does not fit even on empty servers.
-std::vector<uint32_t> ReserveForGang(std::span<const ServerRoom> servers,
-                                     const StepNeed& need);
+/// Room that a run on a server gives back when it ends.
+struct Release {
+  int64_t in_ms = 0;  ///< Estimated time until then.
+  Resources room;
+
+  bool operator==(const Release&) const = default;
+};
+
+/// Chooses where to keep room for a gang that does not fit yet: where it is
+/// complete first, so that room is kept for the shortest time.
+/// @param releases Of each server, or empty if nothing is known of them.
+/// @return Tasks for each server; empty if the gang does not fit even on empty
+/// servers.
+std::vector<uint32_t> ReserveForGang(
+    std::span<const ServerRoom> servers,
+    std::span<const std::vector<Release>> releases,
+    const StepNeed& need);
 
 }  // namespace bw
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -214,9 +214,35 @@
 
 TEST(Fit, ReservationFitsTheGangOrIsNone) {
   const auto rooms = Servers({0, 2, 5});
-  const auto kept = ReserveForGang(rooms, Need(8, 2));
+  const auto kept = ReserveForGang(rooms, {}, Need(8, 2));
   CHECK_EQUAL(2U, kept[1] + kept[2]);
-  CHECK(ReserveForGang(rooms, Need(8, 4)).empty());
+  CHECK(ReserveForGang(rooms, {}, Need(8, 4)).empty());
+}
+
+// Load: a nearly full cell of long and short runs; room kept where long ones
+// run would lie idle for their time.
+TEST(Fit, ReservationGoesWhereRoomIsCompleteFirst) {
+  const auto rooms = Servers({4, 0, 0});
+  const Resources four{4000, 400, 0};
+  const Resources eight{8000, 800, 0};
+  const std::vector<std::vector<Release>> releases = {
+      {{9000, eight}}, {{500, four}, {700, four}}, {{400, eight}}};
+  const auto kept = ReserveForGang(rooms, releases, Need(8, 2));
+  CHECK_EQUAL(0U, kept[0]);
+  CHECK_EQUAL(1U, kept[1]);
+  CHECK_EQUAL(1U, kept[2]);
+}
+
+// Load: two gangs wait; what is kept for the first is not promised twice.
+TEST(Fit, ReservationLeavesWhatIsOwedToAnotherGang) {
+  auto rooms = Servers({0, 0});
+  const Resources eight{8000, 800, 0};
+  rooms[0].owed = eight;
+  const std::vector<std::vector<Release>> releases = {
+      {{100, eight}, {5000, eight}}, {{1000, eight}}};
+  const auto kept = ReserveForGang(rooms, releases, Need(8, 1));
+  CHECK_EQUAL(0U, kept[0]);
+  CHECK_EQUAL(1U, kept[1]);
 }
 
 TEST_GROUP(Advice){};
