Feature: [Entry] Changed settings are read at a SIGHUP, or within 5 s without one

Bounds take force at once for callers' calls and with the next take-over for the cell; log levels at once; all others are named in the line reload as waiting for the next start. A file with faults changes nothing and is logged with its first fault. Entry.ChangedSettingsAreReadAndABadFileChangesNothing.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -57,6 +57,42 @@
   return out;
 }
 
+/// Settings that take force while the process runs.
+bool IsReloadable(const std::string& name) {
+  return name.starts_with("bounds.") || name == "log.levels" ||
+         name == "timing.lease_percent";
+}
+
+/// Reads the settings again and passes on what may change. A file with faults
+/// changes nothing.
+void Reload(CommandLine* line, Entry* entry) {
+  std::vector<SettingFault> faults;
+  Settings read = Settings::Load(line->file, table::kEntrySettings,
+                                 line->overrides, &faults);
+  if (!faults.empty()) {
+    LogEvent(Part::kKernel, "reload_refused",
+             {{"faults", faults.size()}, {"first", faults.front().ToText()}});
+    return;
+  }
+  std::vector<std::string> in_force;
+  std::vector<std::string> at_next_start;
+  for (auto& it : read.ChangedFrom(line->settings)) {
+    (IsReloadable(it) ? in_force : at_next_start).push_back(it);
+  }
+  if (in_force.empty() && at_next_start.empty()) {
+    return;
+  }
+  if (!SetUpLog(read.Text("log.levels"))) {
+    LogEvent(Part::kKernel, "reload_refused",
+             {{"faults", 1}, {"first", "[log] levels: unknown part or level"}});
+    return;
+  }
+  line->settings = std::move(read);
+  entry->Reload(OptionsFrom(line->settings));
+  LogEvent(Part::kKernel, "reload",
+           {{"in_force", in_force}, {"at_next_start", at_next_start}});
+}
+
 int Main(int argc, const char** argv) {
   // The platform names the settings file in the environment.
   std::vector<const char*> arguments(argv, argv + argc);
@@ -87,8 +123,10 @@
             {"mesh", options.membership.address},
             {"incarnation", options.membership.incarnation}});
   Kernel kernel;
-  kernel.Add("entry", std::make_unique<Entry>(options));
-  const int code = RunKernel(&kernel, options.grace - kBeforeKill);
+  auto entry = std::make_unique<Entry>(options);
+  const auto reload = [&line, it = entry.get()] { Reload(&*line, it); };
+  kernel.Add("entry", std::move(entry));
+  const int code = RunKernel(&kernel, options.grace - kBeforeKill, reload);
   LogEvent(Part::kKernel, "stop", {{"exit_code", code}});
   return code;
 }
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -83,6 +83,13 @@
   }
 }
 
+void Entry::Reload(const EntryOptions& options) {
+  core_.Post([this, cell = options.cell, front = options.front] {
+    owner_.SetOptions(cell);
+    front_.SetOptions(front);
+  });
+}
+
 net::HttpResponse Entry::Page(const net::HttpRequest& request) const {
   constexpr int kNotFound = 404;
   constexpr int kUnavailable = 503;
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -43,6 +43,10 @@
   bool IsBusy() const override;
   void Stop() override;
 
+  /// Takes changed bounds into force: those of callers' calls at once, those of
+  /// the cell from the next take-over on. Thread-safe.
+  void Reload(const EntryOptions& options);
+
  private:
   void Tick();
   void OnQuestion(const proto::Envelope& question, net::Mesh::Reply reply);
--- a/src/front_base.h
+++ b/src/front_base.h
@@ -38,6 +38,7 @@
   Front(FrontOptions options, FrontParts parts);
 
   void SetMesh(net::Mesh* mesh) { mesh_ = mesh; }
+  void SetOptions(const FrontOptions& options) { options_ = options; }
 
   /// Handles one caller's HTTP request. Thread-safe.
   void Serve(const net::HttpRequest& request, net::Responder responder);
@@ -79,7 +80,7 @@
   void Refuse(const CallPtr& call, int status, const char* why);
   bool IsClosing(Time now) const { return ToMicros(now) >= refuse_at_us_; }
 
-  const FrontOptions options_;
+  FrontOptions options_;
   const FrontParts parts_;
   net::Mesh* mesh_ = nullptr;
   std::map<uint64_t, CallPtr> open_calls_;
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -46,6 +46,8 @@
   ~Owner() override;
 
   void SetMesh(net::Mesh* mesh) { mesh_ = mesh; }
+  /// In force from the next take-over on.
+  void SetOptions(const CellOptions& options) { options_ = options; }
 
   void OnGain(uint64_t generation);
   void OnLose();
@@ -99,7 +101,7 @@
                 const std::vector<BackendId>& asked,
                 const platform::AdviceAnswer& answer);
 
-  const CellOptions options_;
+  CellOptions options_;
   const size_t max_call_bytes_;
   const OwnerParts parts_;
   net::Mesh* mesh_ = nullptr;
--- a/src/process.cc
+++ b/src/process.cc
@@ -17,6 +17,8 @@
 constexpr const char* kVersion = "bilberrywing 0.1.0";
 constexpr milliseconds kDrainPoll{20};
 constexpr milliseconds kLastWrites{200};  ///< For answers on their way out.
+/// Settings files that change without a signal are noticed within this time.
+constexpr std::chrono::seconds kReloadEvery{5};
 
 enum Option : int {
   kOptionSet = 1,
@@ -127,8 +129,9 @@
     }
   }
   std::vector<SettingFault> faults;
-  out.settings = Settings::Load(reader.file == nullptr ? "" : reader.file,
-                                table, overrides, &faults);
+  out.file = reader.file == nullptr ? "" : reader.file;
+  out.overrides = overrides;
+  out.settings = Settings::Load(out.file, table, overrides, &faults);
   poptFreeContext(context);
   for (const auto& it : faults) {
     std::fprintf(stderr, "%s\n", it.ToText().c_str());
@@ -165,13 +168,27 @@
   pthread_sigmask(SIG_BLOCK, &all, nullptr);
 }
 
-void WaitForStop() {
-  const sigset_t signals = StopSignals();
-  int signal = 0;
-  sigwait(&signals, &signal);
+void WaitForStop(const std::function<void()>& on_reload) {
+  sigset_t signals = StopSignals();
+  if (!on_reload) {
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return;
+  }
+  sigaddset(&signals, SIGHUP);
+  const timespec every{kReloadEvery.count(), 0};
+  while (true) {
+    const int signal = sigtimedwait(&signals, nullptr, &every);
+    if (signal == SIGTERM || signal == SIGINT) {
+      return;
+    }
+    on_reload();
+  }
 }
 
-int RunKernel(Kernel* kernel, milliseconds drain_limit) {
+int RunKernel(Kernel* kernel,
+              milliseconds drain_limit,
+              const std::function<void()>& on_reload) {
   try {
     kernel->StartAll();
   } catch (const std::exception& e) {
@@ -180,7 +197,7 @@
     return ToInt(ExitCode::kFailed);
   }
   Log(Part::kKernel, LogLevel::kInfo, "Started.");
-  WaitForStop();
+  WaitForStop(on_reload);
   Log(Part::kKernel, LogLevel::kInfo, "Draining.");
   kernel->DrainAll();
   const Time limit = BootClock::now() + drain_limit;
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -26,6 +26,8 @@
 /// A command line that was read.
 struct CommandLine {
   Settings settings;
+  std::string file;     ///< Settings were read from it; empty: none.
+  Overrides overrides;  ///< Go before the file.
   std::vector<std::string> arguments;  ///< What is not an option.
 };
 
@@ -47,13 +49,17 @@
 /// is started.
 void BlockSignals();
 
-/// Waits for SIGTERM or SIGINT.
-void WaitForStop();
+/// Waits for SIGTERM or SIGINT. @param on_reload Runs at each SIGHUP, and every
+/// few seconds, as files may change without a signal; empty: SIGHUP is ignored.
+void WaitForStop(const std::function<void()>& on_reload = {});
 
 /// Starts the kernel's services, runs until SIGTERM or SIGINT, drains and
 /// stops. A second signal ends the wait for the drain.
 /// @param drain_limit Longest wait for work under way.
-int RunKernel(Kernel* kernel, milliseconds drain_limit);
+/// @param on_reload See WaitForStop.
+int RunKernel(Kernel* kernel,
+              milliseconds drain_limit,
+              const std::function<void()>& on_reload = {});
 
 /// Reads "name=ip:port" pairs.
 std::map<std::string, std::string> ReadLinks(
--- a/src/setting.cc
+++ b/src/setting.cc
@@ -194,6 +194,17 @@
   return SplitList(Text(name), ',');
 }
 
+std::vector<std::string> Settings::ChangedFrom(const Settings& other) const {
+  std::vector<std::string> out;
+  for (const auto& [name, value] : values_) {
+    const auto it = other.values_.find(name);
+    if (it == other.values_.end() || it->second != value) {
+      out.push_back(name);
+    }
+  }
+  return out;
+}
+
 std::string SettingsHelp(std::span<const SettingDesc> table) {
   std::string out;
   for (const auto& it : table) {
--- a/src/setting_base.h
+++ b/src/setting_base.h
@@ -43,6 +43,9 @@
   double Real(std::string_view name) const;
   std::vector<std::string> List(std::string_view name) const;
 
+  /// @return Names whose values differ from those in `other`.
+  std::vector<std::string> ChangedFrom(const Settings& other) const;
+
  private:
   std::map<std::string, std::string, std::less<>> values_;
 };
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -193,4 +193,24 @@
   CHECK(lines.find("k0\"") == std::string::npos);
 }
 
+TEST(Entry, ChangedSettingsAreReadAndABadFileChangesNothing) {
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  const auto logged = [&](const std::string& text) {
+    return Eventually(
+        [&] { return fleet.Log(0).find(text) != std::string::npos; });
+  };
+  fleet.ChangeSettings(0, "[bounds]\nrevoke_ms = nonsense\n");
+  fleet.Entry(0).Signal(SIGHUP);
+  CHECK(logged("\"event\":\"reload_refused\""));
+  CHECK(Submit(fleet, 0, Name(1), 1, 100));
+  // Also noticed without a signal.
+  fleet.ChangeSettings(
+      0, "[bounds]\nrevoke_ms = 4000\n[platform]\ncall_bytes = 4096\n");
+  CHECK(logged("\"in_force\":[\"bounds.revoke_ms\"]"));
+  CHECK(logged("\"at_next_start\":[\"platform.call_bytes\"]"));
+  CHECK(Submit(fleet, 0, Name(2), 1, 100));
+  CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "completed"; }));
+}
+
 }  // namespace bw::test
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -83,10 +83,20 @@
     arguments.emplace_back("--set");
     arguments.push_back(it);
   }
+  arguments.push_back("--settings=" + SettingsOf(n));
+  std::ofstream(SettingsOf(n), std::ios::app).flush();
   entries_[static_cast<size_t>(n)] = ChildProcess(
       "bwentry", arguments, directory_ + "/e" + std::to_string(n) + ".log");
 }
 
+std::string EntryFleet::SettingsOf(int n) const {
+  return directory_ + "/e" + std::to_string(n) + ".ini";
+}
+
+void EntryFleet::ChangeSettings(int n, const std::string& text) const {
+  std::ofstream(SettingsOf(n), std::ios::trunc) << text;
+}
+
 net::HttpResult EntryFleet::Call(int n,
                                  const std::string& method,
                                  const std::string& job,
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -22,6 +22,8 @@
   /// @return False if the fleet does not serve in time.
   bool Start();
   void StartEntry(int n);
+  /// Replaces the settings file of one instance; the process is not told.
+  void ChangeSettings(int n, const std::string& text) const;
   ChildProcess& Entry(int n) { return entries_[static_cast<size_t>(n)]; }
 
   net::HttpResult Call(int n,
@@ -46,6 +48,7 @@
   std::string Log(int n) const;
 
  private:
+  std::string SettingsOf(int n) const;
   std::string FrontOf(int n) const;
   int FindOwner() const;
 
