--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -50,10 +50,8 @@
   out.cell.lease =
       out.cell.hold_max * settings.Int("timing.lease_percent") / kPercent;
   out.cell.status_kept = ms("bounds.status_s", kMsPerSecond);
-  out.cell.gang_wait = ms("bounds.gang_ms");
   out.cell.far_factor = settings.Real("bounds.far_x");
   out.front.revoke = ms("bounds.revoke_ms");
-  out.front.config_apply = ms("bounds.config_apply_ms");
   return out;
 }
 
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -34,9 +34,8 @@
   milliseconds hold_max{10'000};  ///< Longest lease backend servers grant.
   milliseconds lease{6'500};      ///< Lease asked for; shorter than hold_max.
   milliseconds status_kept{120'000};  ///< Ended jobs stay known this long.
-  milliseconds gang_wait{3'000};  ///< Members of a gang wait for the others.
-  double far_factor = 3;          ///< Slowness far from the data.
-  uint64_t wall_ms = 0;           ///< Wall clock at the start.
+  double far_factor = 3;              ///< Slowness far from the data.
+  uint64_t wall_ms = 0;               ///< Wall clock at the start.
 };
 
 /// What the cell needs done. Answers come back through the methods of Cell
--- a/src/front_base.h
+++ b/src/front_base.h
@@ -19,8 +19,7 @@
 namespace bw {
 
 struct FrontOptions {
-  milliseconds revoke{5000};        ///< Withdrawn keys stop working by then.
-  milliseconds config_apply{2000};  ///< Configurations are in force by then.
+  milliseconds revoke{5000};  ///< Withdrawn keys stop working by then.
 };
 
 struct FrontParts {
