--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -220,6 +220,7 @@
     uint32_t rack = 0;                 ///< Number of its rack.
     uint32_t pass_index = 0xffffffff;  ///< Its place in the present pass.
     Time avoid_until = kNever;
+    bool bad = false;  ///< Found several times slower than others.
   };
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -65,7 +65,15 @@
       pass->servers.push_back(&server);
       pass->free.push_back(server.entry.capacity.Without(server.used));
       pass->held.emplace_back();
-      pass->bad.push_back(speeds_.IsBad(server.entry.id, pass->now));
+      const bool bad = speeds_.IsBad(server.entry.id, pass->now);
+      if (bad != server.bad) {
+        server.bad = bad;
+        LogEvent(Part::kPlacer, bad ? "backend_slow" : "backend_usual",
+                 {{"backend", server.entry.id.value},
+                  {"slowness", speeds_.SlownessOf(server.entry.id, pass->now)},
+                  {"runs", server.runs.size()}});
+      }
+      pass->bad.push_back(bad);
     }
   }
 }
--- a/test/speed_test.cc
+++ b/test/speed_test.cc
@@ -21,10 +21,9 @@
 /// Runs of two queues on 12 servers, each with its own factor.
 class Load {
  public:
-  double factor(int server) const { return factors_[server]; }
-  void set_factor(int server, double factor) { factors_[server] = factor; }
-  SpeedMeter& meter() { return meter_; }
-  Time now() const { return now_; }
+  void SetFactor(int server, double factor) { factors_[server] = factor; }
+  SpeedMeter& Meter() { return meter_; }
+  Time Now() const { return now_; }
 
   /// Each server ends one run a second of each queue.
   void Pass(int seconds) {
@@ -72,7 +71,7 @@
 TEST(Speed, KindsOfMachinesAreNotTakenForTrouble) {
   Load load;
   for (int n = 0; n < 4; ++n) {
-    load.set_factor(n, 1.3);
+    load.SetFactor(n, 1.3);
   }
   for (int n = 0; n < 30; ++n) {
     load.Pass(1);
@@ -85,24 +84,24 @@
   Load load;
   load.Pass(20);
   const BackendId bad = ServerNo(0);
-  load.meter().OnRunning(kGood, bad, 2000, 2500, load.now());
-  CHECK(!load.meter().IsBad(bad, load.now()));
-  load.meter().OnRunning(kGood, bad, 2000, 6000, load.now());
-  CHECK(load.meter().IsBad(bad, load.now()));
-  load.set_factor(0, 7);
+  load.Meter().OnRunning(kGood, bad, 2000, 2500, load.Now());
+  CHECK(!load.Meter().IsBad(bad, load.Now()));
+  load.Meter().OnRunning(kGood, bad, 2000, 6000, load.Now());
+  CHECK(load.Meter().IsBad(bad, load.Now()));
+  load.SetFactor(0, 7);
   load.Pass(2);
-  CHECK(load.meter().IsBad(bad, load.now()));
-  load.set_factor(0, 1);
+  CHECK(load.Meter().IsBad(bad, load.Now()));
+  load.SetFactor(0, 1);
   load.Pass(15);
-  CHECK(!load.meter().IsBad(bad, load.now()));
+  CHECK(!load.Meter().IsBad(bad, load.Now()));
 }
 
 TEST(Speed, AnotherLifeIsUsualAgain) {
   Load load;
-  load.set_factor(0, 7);
+  load.SetFactor(0, 7);
   load.Pass(20);
-  load.meter().Forget(ServerNo(0));
-  CHECK(!load.meter().IsBad(ServerNo(0), load.now()));
+  load.Meter().Forget(ServerNo(0));
+  CHECK(!load.Meter().IsBad(ServerNo(0), load.Now()));
 }
 
 }  // namespace bw::test
