Fix: [Cell] Jobs that nothing can ever run hold nobody up

Cause: a pass stops after 150 steps without room, and 150 jobs that need a label nobody has came first in order for good; 260 others were never looked at (step_waits with an empty why) while 600 of 768 cores were free. Ruled out: advice (no question refused), reservations, learned speeds. Change: a step that no listed server could run even if it were empty is looked at once a second, and steps that pause do not count. Cell.JobsThatNothingCanRunDoNotHoldOthersUp fails on the old code.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -355,6 +355,7 @@
                        Time now) const;
   void OpenPass(Pass* pass);
   void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
+  bool IsPossible(const Job& job, const StepSpec& spec) const;
   bool PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
   StepNeed NeedOf(const StepSpec& spec,
                   const Step& step,
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -15,6 +15,8 @@
 constexpr milliseconds kReservationLife{200};
 /// Steps without room that one pass looks at; the rest comes after them.
 constexpr uint32_t kMaxUnplaced = 150;
+/// A step that no listed server can run is looked at again after this.
+constexpr milliseconds kImpossiblePause{1000};
 /// Work waits this long for other servers than one that is several times
 /// slower; most tasks take about as long.
 constexpr milliseconds kBadPatience{1000};
@@ -102,6 +104,12 @@
   uint32_t looked_at = 0;
   for (const auto& it : order) {
     const StepRef ref = *it.second;  // PlaceStep may take it out of `ready_`.
+    Job* job = nullptr;
+    const Step* step = FindStep(ref, &job);
+    if (step == nullptr || step->not_before > now) {
+      continue;  // Costs nothing, and must not keep others from being looked
+                 // at.
+    }
     const bool urgent =
         !it.first.over_share && OutlookOf(it.first) == Outlook::kInTime;
     if (!PlaceStep(&pass, ref, urgent) && ++looked_at >= kMaxUnplaced) {
@@ -248,6 +256,22 @@
   return placed;
 }
 
+/// @return True if an empty server of those listed could run a task of the
+/// step.
+bool Cell::IsPossible(const Job& job, const StepSpec& spec) const {
+  StepNeed need;
+  need.task = RoomOf(spec);
+  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
+    const BackendEntry& entry = it.second.entry;
+    const auto& labels = entry.labels;
+    const bool fits =
+        it.second.listed && entry.service == job.policy.service &&
+        (spec.label.empty() ||
+         std::find(labels.begin(), labels.end(), spec.label) != labels.end());
+    return fits && SlotsIn({}, entry.capacity, need) > 0;
+  });
+}
+
 /// @return True if nothing of the step waits any more.
 bool Cell::PlaceStep(Pass* pass, const StepRef& ref, bool urgent) {
   Job* job = nullptr;
@@ -282,6 +306,11 @@
     return false;
   }
   need.count = std::min(need.count, allowed);
+  if (!IsPossible(*job, spec)) {
+    step->why = "no backend server can ever run it";
+    step->not_before = pass->now + kImpossiblePause;
+    return false;
+  }
   FillRooms(pass, *job, ref, *step);
   auto rooms = pass->rooms;
   if (job->policy.advice) {
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -283,6 +283,23 @@
   CHECK_EQUAL(0, it.Running(First(kJob)));
 }
 
+// Load: many jobs that nothing can ever run; they wait, and are first in order.
+TEST(Cell, JobsThatNothingCanRunDoNotHoldOthersUp) {
+  CellBench it(1);
+  constexpr int kHopeless = 200;
+  for (int n = 0; n < kHopeless; ++n) {
+    const bool label = n % 2 == 0;
+    it.cell->Submit(JobId("hopeless" + std::to_string(n)), TeamId("t0"),
+                    QueueId("q"),
+                    label ? CellBench::Tasks(1, 10, R"(,"requires":"none")")
+                          : CellBench::Tasks(1, 10'000'000),
+                    it.now, [](const CellOutcome&) {});
+  }
+  CHECK(it.Submit(kJob, CellBench::Tasks(1, 1000)).has_value());
+  it.Pass(1000);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+}
+
 // Load: records are not kept for seconds; jobs that were taken before wait.
 TEST(Cell, NothingIsPlacedWhileRecordsAreNotKept) {
   CellBench it(1);
