Fix: [Fit] Room kept for a gang is open to what ends before the gang starts

Ruled out: too few questions to the advice service (the steps that waited had two admitted servers each).

Change: room kept has the estimated time at which its gang is complete. A task whose doubled estimate ends before that may use it.

Tests: Cell.ShortTasksUseRoomThatAGangStillWaitsFor (fails before), Fit.KeptRoomIsOpenToWhatEndsBeforeTheGangStarts.

--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -1,6 +1,7 @@
 // The cell's placing pass: which waiting steps get room, and where.
 
 #include <algorithm>
+#include <limits>
 
 #include "cell_pass.h"
 #include "event_log_func.h"
@@ -21,10 +22,29 @@
 /// slower; most tasks take about as long.
 constexpr milliseconds kBadPatience{1000};
 
+/// Estimates are rough: a task counts as this much longer where it must not
+/// hold up a gang.
+constexpr double kOverrun = 2;
+/// Time of a task without an estimate.
+constexpr uint64_t kUnknownMs = 3000;
+
 int64_t SignedMs(uint64_t n) {
   return static_cast<int64_t>(n);
 }
 
+uint64_t EstimateOrUsual(uint64_t estimate_ms) {
+  return estimate_ms > 0 ? estimate_ms : kUnknownMs;
+}
+
+/// @return How long a task of the step may hold its room.
+int64_t ExpectedMs(const StepSpec& spec) {
+  if (spec.perpetual) {
+    return std::numeric_limits<int64_t>::max();
+  }
+  return static_cast<int64_t>(
+      kOverrun * static_cast<double>(EstimateOrUsual(spec.estimate_ms)));
+}
+
 }  // namespace
 
 Resources Cell::RoomOf(const StepSpec& spec) const {
@@ -66,7 +86,7 @@
       server.pass_index = static_cast<uint32_t>(pass->servers.size());
       pass->servers.push_back(&server);
       pass->free.push_back(server.entry.capacity.Without(server.used));
-      pass->held.emplace_back();
+      pass->kept.emplace_back();
       const bool bad = speeds_.IsBad(server.entry.id, pass->now);
       if (bad != server.bad) {
         server.bad = bad;
@@ -142,6 +162,7 @@
                      const StepRef& ref,
                      const Step& step) {
   const StepSpec& spec = job.spec.steps[ref.step];
+  const int64_t task_ms = ExpectedMs(spec);
   pass->rooms.resize(pass->servers.size());
   std::map<BackendId, uint32_t> of_step;
   std::set<BackendId> failed_on;
@@ -160,8 +181,7 @@
     ServerRoom& room = pass->rooms[n];
     room = {};
     room.total = server.entry.capacity;
-    room.free = pass->free[n].Without(pass->held[n]);
-    room.owed = pass->held[n].Without(pass->free[n]);
+    room.free = pass->free[n].Without(KeptAgainst(pass->kept[n], task_ms));
     room.rack = server.rack;
     room.bad = pass->bad[n];
     if (auto it = of_step.find(server.entry.id); it != of_step.end()) {
@@ -326,7 +346,8 @@
   need.count -= placed;
   if (need.count > 0) {
     for (size_t n = 0; n < rooms.size(); ++n) {
-      rooms[n].free = pass->free[n].Without(pass->held[n]);
+      rooms[n].free =
+          pass->free[n].Without(KeptAgainst(pass->kept[n], ExpectedMs(spec)));
     }
     pass->rooms = std::move(rooms);
     PrepareRoom(pass, job, ref, step, need, urgent);
@@ -360,13 +381,22 @@
       pass->releases.push_back(ReleasesOf(*it, pass->now));
     }
   }
-  const auto kept = ReserveForGang(pass->rooms, pass->releases, need);
-  if (kept.empty()) {
+  constexpr int64_t kForever = std::numeric_limits<int64_t>::max();
+  for (size_t n = 0; n < pass->rooms.size(); ++n) {
+    const Resources kept = KeptAgainst(pass->kept[n], kForever);
+    pass->rooms[n].free = pass->free[n].Without(kept);
+    pass->rooms[n].owed = kept.Without(pass->free[n]);
+  }
+  const GangRoom room = ReserveForGang(pass->rooms, pass->releases, need);
+  if (room.tasks.empty()) {
     return false;
   }
   ++pass->reservations;
-  for (size_t n = 0; n < kept.size(); ++n) {
-    pass->held[n] = pass->held[n] + need.task.Times(kept[n]);
+  for (size_t n = 0; n < room.tasks.size(); ++n) {
+    if (room.tasks[n] > 0) {
+      pass->kept[n].push_back(
+          {need.task.Times(room.tasks[n]), room.complete_in_ms});
+    }
   }
   return true;
 }
@@ -375,11 +405,9 @@
 /// has outlasted its estimate is taken to go on for a part of it.
 std::vector<Release> Cell::ReleasesOf(const Server& server, Time now) {
   constexpr int64_t kOutlastPart = 4;
-  constexpr int64_t kUnknownMs = 3000;
   std::vector<Release> out;
   for (const auto& [run, live] : server.runs) {
-    const int64_t estimate =
-        live.estimate_ms > 0 ? SignedMs(live.estimate_ms) : kUnknownMs;
+    const int64_t estimate = SignedMs(EstimateOrUsual(live.estimate_ms));
     const int64_t ran =
         live.sent == kNever ? 0 : SignedMs(AgeMs(live.sent, now));
     const bool stopping = live.phase == RunPhase::kStopping;
--- a/src/fit.cc
+++ b/src/fit.cc
@@ -171,7 +171,17 @@
   return out;
 }
 
-std::vector<uint32_t> ReserveForGang(
+Resources KeptAgainst(std::span<const KeptRoom> kept, int64_t task_ms) {
+  Resources out;
+  for (const auto& it : kept) {
+    if (it.complete_in_ms < task_ms) {
+      out = out + it.room;
+    }
+  }
+  return out;
+}
+
+GangRoom ReserveForGang(
     std::span<const ServerRoom> servers,
     std::span<const std::vector<Release>> releases,
     const StepNeed& need) {
@@ -195,11 +205,12 @@
       best = &places;
     }
   }
-  std::vector<uint32_t> out;
+  GangRoom out;
   if (best != nullptr && need.count > 0) {
-    out.resize(servers.size());
+    out.complete_in_ms = best->back().in_ms;
+    out.tasks.resize(servers.size());
     for (const auto& it : *best) {
-      ++out[it.server];
+      ++out.tasks[it.server];
     }
   }
   return out;
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -64,12 +64,30 @@
   bool operator==(const Release&) const = default;
 };
 
+/// Room kept on a server for a gang that comes first.
+struct KeptRoom {
+  Resources room;
+  int64_t complete_in_ms = 0;  ///< Estimated time until the gang starts.
+
+  bool operator==(const KeptRoom&) const = default;
+};
+
+/// @return What is kept on a server against a task that takes `task_ms`: all
+/// but the room of gangs that start only after the task's end.
+Resources KeptAgainst(std::span<const KeptRoom> kept, int64_t task_ms);
+
+/// Where the tasks of a gang will go.
+struct GangRoom {
+  std::vector<uint32_t> tasks;  ///< Of each server; empty: it fits nowhere.
+  int64_t complete_in_ms = 0;   ///< Estimated time until all have room.
+
+  bool operator==(const GangRoom&) const = default;
+};
+
 /// Chooses where to keep room for a gang that does not fit yet: where it is
 /// complete first, so that room is kept for the shortest time.
 /// @param releases Of each server, or empty if nothing is known of them.
-/// @return Tasks for each server; empty if the gang does not fit even on empty
-/// servers.
-std::vector<uint32_t> ReserveForGang(
+GangRoom ReserveForGang(
     std::span<const ServerRoom> servers,
     std::span<const std::vector<Release>> releases,
     const StepNeed& need);
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -385,6 +385,31 @@
   CHECK_EQUAL(1, it.Running(First(kJob, 1)));
 }
 
+// Load: few servers have a label that many steps need, and gangs wait there one
+// after the other. The room kept for them lay idle while short work waited.
+TEST(Cell, ShortTasksUseRoomThatAGangStillWaitsFor) {
+  CellBench it(1);
+  CellQueue first = it.config->queues[0];
+  first.name = QueueId("first");
+  first.priority = 0;
+  it.config->queues.push_back(first);
+  it.Submit(kOther, R"({"spec":"x","steps":[{"cpu":6000,"memMb":100,)"
+                    R"("estimateMs":4000}]})");
+  it.Submit(kJob,
+            R"({"spec":"x","steps":[{"count":2,"cpu":4000,"memMb":100,)"
+            R"("estimateMs":4000,"gang":true}]})",
+            "first");
+  const char* const short_job = "00000000000000a3";
+  const char* const long_job = "00000000000000a4";
+  it.Submit(long_job, R"({"spec":"x","steps":[{"cpu":1000,"memMb":100,)"
+                      R"("estimateMs":9000}]})");
+  it.Submit(short_job, R"({"spec":"x","steps":[{"cpu":1000,"memMb":100,)"
+                       R"("estimateMs":500}]})");
+  it.Pass(200);
+  CHECK_EQUAL(1, it.Running(First(short_job)));
+  CHECK_EQUAL(0, it.Running(First(long_job)));
+}
+
 TEST(Cell, BrokenGangStartsAnewWithAHigherRun) {
   CellBench it(2);
   it.Submit(kJob, CellBench::Tasks(4, 4000, R"(,"gang":true)"));
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -214,9 +214,9 @@
 
 TEST(Fit, ReservationFitsTheGangOrIsNone) {
   const auto rooms = Servers({0, 2, 5});
-  const auto kept = ReserveForGang(rooms, {}, Need(8, 2));
+  const auto kept = ReserveForGang(rooms, {}, Need(8, 2)).tasks;
   CHECK_EQUAL(2U, kept[1] + kept[2]);
-  CHECK(ReserveForGang(rooms, {}, Need(8, 4)).empty());
+  CHECK(ReserveForGang(rooms, {}, Need(8, 4)).tasks.empty());
 }
 
 // Load: a nearly full cell of long and short runs; room kept where long ones
@@ -227,10 +227,11 @@
   const Resources eight{8000, 800, 0};
   const std::vector<std::vector<Release>> releases = {
       {{9000, eight}}, {{500, four}, {700, four}}, {{400, eight}}};
-  const auto kept = ReserveForGang(rooms, releases, Need(8, 2));
-  CHECK_EQUAL(0U, kept[0]);
-  CHECK_EQUAL(1U, kept[1]);
-  CHECK_EQUAL(1U, kept[2]);
+  const GangRoom room = ReserveForGang(rooms, releases, Need(8, 2));
+  CHECK_EQUAL(0U, room.tasks[0]);
+  CHECK_EQUAL(1U, room.tasks[1]);
+  CHECK_EQUAL(1U, room.tasks[2]);
+  CHECK_EQUAL(700, room.complete_in_ms);
 }
 
 // Load: two gangs wait; what is kept for the first is not promised twice.
@@ -240,11 +241,21 @@
   rooms[0].owed = eight;
   const std::vector<std::vector<Release>> releases = {
       {{100, eight}, {5000, eight}}, {{1000, eight}}};
-  const auto kept = ReserveForGang(rooms, releases, Need(8, 1));
+  const auto kept = ReserveForGang(rooms, releases, Need(8, 1)).tasks;
   CHECK_EQUAL(0U, kept[0]);
   CHECK_EQUAL(1U, kept[1]);
 }
 
+// Load: a gang waits for the rest of its room while short tasks wait for any.
+TEST(Fit, KeptRoomIsOpenToWhatEndsBeforeTheGangStarts) {
+  const Resources four{4000, 400, 0};
+  const Resources two{2000, 200, 0};
+  const std::vector<KeptRoom> kept = {{four, 700}, {two, 5000}};
+  CHECK(KeptAgainst(kept, 600) == Resources{});
+  CHECK(KeptAgainst(kept, 800) == four);
+  CHECK(KeptAgainst(kept, 6000) == four + two);
+}
+
 TEST_GROUP(Advice){};
 
 namespace {
