--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -17,7 +17,7 @@
   std::vector<Server*> servers;
   std::vector<ServerRoom> rooms;  ///< Of the step that is being placed.
   std::vector<Resources> free;    ///< Less what was placed in this pass.
-  std::vector<std::vector<KeptRoom>> kept;  ///< For gangs that came first.
+  std::vector<std::vector<KeptRoom>> kept;     ///< For gangs that came first.
   std::vector<std::vector<Release>> releases;  ///< Filled when first needed.
   std::vector<bool> bad;  ///< Of each server: far slower than others.
   uint32_t reservations = 0;
--- a/src/fit.cc
+++ b/src/fit.cc
@@ -181,10 +181,9 @@
   return out;
 }
 
-GangRoom ReserveForGang(
-    std::span<const ServerRoom> servers,
-    std::span<const std::vector<Release>> releases,
-    const StepNeed& need) {
+GangRoom ReserveForGang(std::span<const ServerRoom> servers,
+                        std::span<const std::vector<Release>> releases,
+                        const StepNeed& need) {
   std::map<uint32_t, std::vector<TaskPlace>> racks;
   for (uint32_t n = 0; n < servers.size(); ++n) {
     if (MayUse(servers[n], need)) {
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -87,9 +87,8 @@
 /// Chooses where to keep room for a gang that does not fit yet: where it is
 /// complete first, so that room is kept for the shortest time.
 /// @param releases Of each server, or empty if nothing is known of them.
-GangRoom ReserveForGang(
-    std::span<const ServerRoom> servers,
-    std::span<const std::vector<Release>> releases,
-    const StepNeed& need);
+GangRoom ReserveForGang(std::span<const ServerRoom> servers,
+                        std::span<const std::vector<Release>> releases,
+                        const StepNeed& need);
 
 }  // namespace bw
