Fix: [Cell] A part of each pass looks at the steps that were looked at longest ago

A pass ends after 150 steps without room. 249 steps waited, of which more than 150 needed a label whose three servers were full; what came behind them was never looked at for 30 s, with 637 of 768 cores free and 25 questions a second to the advice service. The line step_waits showed what such a step had lacked when it was last looked at ("the advice service is busy"). Ruled out: the advice service (0 to 6 questions a second found no instance).

Change: 100 steps in their order, and 50 of those behind them, those looked at longest ago first.

Test: Cell.ManyStepsWithoutRoomDoNotHideTheOthers (fails before).

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -249,6 +250,7 @@
     bool ready = false;       ///< All steps before it are done; its time came.
     bool breaking = false;    ///< A gang that is being taken apart.
     Time room_kept = kNever;  ///< Last pass that kept room for it.
+    Time looked_at = kNever;  ///< Last pass that looked for room for it.
     std::vector<uint64_t> failed_runs;  ///< Of a gang.
     Time started = kNever;
     Time waits_since = kNever;
@@ -348,7 +350,15 @@
 
   // cell_place.cc: placing.
   struct Pass;
+  struct RankedStep {
+    WaitingStep rank;
+    const StepRef* ref = nullptr;  ///< In `ready_`.
+    Time looked_at = kNever;
+  };
   void Place(Time now);
+  std::span<const RankedStep> PlaceInOrder(Pass* pass,
+                                           std::span<const RankedStep> order,
+                                           uint32_t most);
   WaitingStep Describe(const Job& job,
                        const StepRef& ref,
                        const Step& step,
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -14,8 +14,10 @@
 constexpr uint32_t kMaxReservations = 3;
 /// Room counts as kept if a pass kept it this recently.
 constexpr milliseconds kReservationLife{200};
-/// Steps without room that one pass looks at; the rest comes after them.
-constexpr uint32_t kMaxUnplaced = 150;
+/// Steps without room that one pass looks at, in their order.
+constexpr uint32_t kMaxUnplaced = 100;
+/// And of those behind them, which the next passes would never reach.
+constexpr uint32_t kMaxUnplacedBehind = 50;
 /// A step that no listed server can run is looked at again after this.
 constexpr milliseconds kImpossiblePause{1000};
 /// Work waits this long for other servers than one that is several times
@@ -107,7 +109,7 @@
   Pass pass;
   pass.now = now;
   OpenPass(&pass);
-  std::vector<std::pair<WaitingStep, const StepRef*>> order;
+  std::vector<RankedStep> order;
   for (auto it = ready_.begin(); it != ready_.end();) {
     Job* job = nullptr;
     Step* step = FindStep(*it, &job);
@@ -115,27 +117,49 @@
       it = ready_.erase(it);
       continue;
     }
-    order.emplace_back(Describe(*job, *it, *step, now), &*it);
+    order.push_back({Describe(*job, *it, *step, now), &*it, step->looked_at});
     ++it;
   }
-  std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
-    return ComesBefore(a.first, b.first);
-  });
-  uint32_t looked_at = 0;
-  for (const auto& it : order) {
-    const StepRef ref = *it.second;  // PlaceStep may take it out of `ready_`.
+  std::sort(order.begin(), order.end(),
+            [](const RankedStep& a, const RankedStep& b) {
+              return ComesBefore(a.rank, b.rank);
+            });
+  const auto behind = PlaceInOrder(&pass, order, kMaxUnplaced);
+  if (behind.empty()) {
+    return;
+  }
+  std::vector<RankedStep> oldest(behind.begin(), behind.end());
+  std::stable_sort(oldest.begin(), oldest.end(),
+                   [](const RankedStep& a, const RankedStep& b) {
+                     return a.looked_at < b.looked_at;
+                   });
+  PlaceInOrder(&pass, oldest, kMaxUnplacedBehind);
+}
+
+/// Places steps until `most` of them found no room. @return Those behind.
+std::span<const Cell::RankedStep> Cell::PlaceInOrder(
+    Pass* pass,
+    std::span<const RankedStep> order,
+    uint32_t most) {
+  uint32_t unplaced = 0;
+  for (size_t n = 0; n < order.size(); ++n) {
+    const RankedStep& it = order[n];
     Job* job = nullptr;
-    const Step* step = FindStep(ref, &job);
-    if (step == nullptr || step->not_before > now) {
+    const StepRef ref = *it.ref;  // PlaceStep may take it out of `ready_`.
+    Step* step = FindStep(ref, &job);
+    if (step == nullptr || step->not_before > pass->now) {
       continue;  // Costs nothing, and must not keep others from being looked
                  // at.
     }
-    const bool urgent =
-        !it.first.over_share && OutlookOf(it.first) == Outlook::kInTime;
-    if (!PlaceStep(&pass, ref, urgent) && ++looked_at >= kMaxUnplaced) {
-      break;
+    if (unplaced == most) {
+      return order.subspan(n);
     }
+    step->looked_at = pass->now;
+    const bool urgent =
+        !it.rank.over_share && OutlookOf(it.rank) == Outlook::kInTime;
+    unplaced += PlaceStep(pass, ref, urgent) ? 0 : 1;
   }
+  return {};
 }
 
 /// Leaves only servers usable whose ticket is still valid at `valid_at`.
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -300,6 +300,26 @@
   CHECK_EQUAL(1, it.Running(First(kJob)));
 }
 
+// Load: few servers have a label that hundreds of steps wait for, and all others
+// are nearly empty. Steps that come after those were never looked at.
+TEST(Cell, ManyStepsWithoutRoomDoNotHideTheOthers) {
+  CellBench it(2);
+  FakeBackend& rare = it.backends.at(BackendId("b0"));
+  rare.entry.labels.emplace_back("rare");
+  it.cell->SetBackend(rare.entry, it.now);
+  const std::string needs_rare = R"(,"requires":"rare")";
+  it.Submit(kOther, CellBench::Tasks(1, 8000, needs_rare));
+  constexpr int kMany = 400;
+  for (int n = 0; n < kMany; ++n) {
+    it.cell->Submit(JobId("waits" + std::to_string(n)), TeamId("t0"),
+                    QueueId("q"), CellBench::Tasks(1, 8000, needs_rare), it.now,
+                    [](const CellOutcome&) {});
+  }
+  it.Submit(kJob, CellBench::Tasks(1, 1000));
+  it.Pass(1000);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+}
+
 // Load: records are not kept for seconds; jobs that were taken before wait.
 TEST(Cell, NothingIsPlacedWhileRecordsAreNotKept) {
   CellBench it(1);
