Fix: [Cell] Gangs do not hold others up for long in a nearly empty cell

A step of 0.9 cores waited for i-6ea1cdf15d while 2.0 to 3.9 of its cores were free for 3.5 s: kept for a gang whose start the estimates put off again and again, as the runs there outlasted theirs.

Change: while less than half of a service's capacity is in use or kept, a step that has waited 1.5 s does not heed kept room.

Test: Cell.GangsDoNotHoldOthersUpForLongInANearlyEmptyCell (fails before).

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -350,6 +350,7 @@
 
   // cell_place.cc: placing.
   struct Pass;
+  struct ServiceRoom;
   struct RankedStep {
     WaitingStep rank;
     const StepRef* ref = nullptr;  ///< In `ready_`.
@@ -383,6 +384,10 @@
                    Step* step,
                    const StepNeed& need,
                    bool urgent);
+  static int64_t BackfillMs(const Pass& pass,
+                            const Job& job,
+                            const StepSpec& spec,
+                            const Step& step);
   void FillRooms(Pass* pass,
                  const Job& job,
                  const StepRef& ref,
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -20,6 +20,10 @@
 constexpr uint32_t kMaxUnplacedBehind = 50;
 /// A step that no listed server can run is looked at again after this.
 constexpr milliseconds kImpossiblePause{1000};
+/// While less than half of a service's capacity is in use, only what few
+/// servers can run waits: there a step yields to gangs for this long at most.
+/// Below the 3 s of RULES, "LOST".
+constexpr milliseconds kStarvedAfter{1500};
 /// Work waits this long for other servers than one that is several times
 /// slower; most tasks take about as long.
 constexpr milliseconds kBadPatience{1000};
@@ -98,6 +102,9 @@
                   {"runs", server.runs.size()}});
       }
       pass->bad.push_back(bad);
+      ServiceRoom& room = pass->services[server.entry.service];
+      room.total = room.total + server.entry.capacity;
+      room.free = room.free + pass->free.back();
     }
   }
 }
@@ -181,12 +188,27 @@
   }
 }
 
+/// @return How long a task of the step counts as holding room that is kept for
+/// a gang; 0: it need not heed the gang.
+int64_t Cell::BackfillMs(const Pass& pass,
+                         const Job& job,
+                         const StepSpec& spec,
+                         const Step& step) {
+  const auto room = pass.services.find(job.policy.service);
+  const bool half_empty =
+      room != pass.services.end() &&
+      room->second.free.millicores * 2 > room->second.total.millicores;
+  const bool starved =
+      half_empty && pass.now - step.waits_since > kStarvedAfter;
+  return starved ? 0 : ExpectedMs(spec);
+}
+
 void Cell::FillRooms(Pass* pass,
                      const Job& job,
                      const StepRef& ref,
                      const Step& step) {
   const StepSpec& spec = job.spec.steps[ref.step];
-  const int64_t task_ms = ExpectedMs(spec);
+  const int64_t task_ms = BackfillMs(*pass, job, spec, step);
   pass->rooms.resize(pass->servers.size());
   std::map<BackendId, uint32_t> of_step;
   std::set<BackendId> failed_on;
@@ -369,9 +391,10 @@
   }
   need.count -= placed;
   if (need.count > 0) {
+    const int64_t task_ms = BackfillMs(*pass, *job, spec, *step);
     for (size_t n = 0; n < rooms.size(); ++n) {
       rooms[n].free =
-          pass->free[n].Without(KeptAgainst(pass->kept[n], ExpectedMs(spec)));
+          pass->free[n].Without(KeptAgainst(pass->kept[n], task_ms));
     }
     pass->rooms = std::move(rooms);
     PrepareRoom(pass, job, ref, step, need, urgent);
@@ -418,8 +441,10 @@
   ++pass->reservations;
   for (size_t n = 0; n < room.tasks.size(); ++n) {
     if (room.tasks[n] > 0) {
-      pass->kept[n].push_back(
-          {need.task.Times(room.tasks[n]), room.complete_in_ms});
+      const Resources kept = need.task.Times(room.tasks[n]);
+      pass->kept[n].push_back({kept, room.complete_in_ms});
+      Resources& free = pass->services[pass->servers[n]->entry.service].free;
+      free = free.Without(kept);
     }
   }
   return true;
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -300,8 +300,8 @@
   CHECK_EQUAL(1, it.Running(First(kJob)));
 }
 
-// Load: few servers have a label that hundreds of steps wait for, and all others
-// are nearly empty. Steps that come after those were never looked at.
+// Load: few servers have a label that hundreds of steps wait for, and all
+// others are nearly empty. Steps that come after those were never looked at.
 TEST(Cell, ManyStepsWithoutRoomDoNotHideTheOthers) {
   CellBench it(2);
   FakeBackend& rare = it.backends.at(BackendId("b0"));
@@ -430,6 +430,24 @@
   CHECK_EQUAL(0, it.Running(First(long_job)));
 }
 
+// Load: as before, in a cell that is nearly empty but for those few servers;
+// the estimates say again and again that the gang is about to start.
+TEST(Cell, GangsDoNotHoldOthersUpForLongInANearlyEmptyCell) {
+  CellBench it(4);
+  FakeBackend& rare = it.backends.at(BackendId("b0"));
+  rare.entry.labels.emplace_back("rare");
+  it.cell->SetBackend(rare.entry, it.now);
+  const std::string needs_rare = R"(,"requires":"rare")";
+  it.Submit(kOther, CellBench::Tasks(1, 6000, needs_rare));
+  it.Submit(kJob, CellBench::Tasks(1, 8000, needs_rare + R"(,"gang":true)"));
+  const char* const small = "00000000000000a3";
+  it.Submit(small, CellBench::Tasks(1, 1000, needs_rare));
+  it.Pass(1000);
+  CHECK_EQUAL(0, it.Running(First(small)));
+  it.Pass(1000);
+  CHECK_EQUAL(1, it.Running(First(small)));
+}
+
 TEST(Cell, BrokenGangStartsAnewWithAHigherRun) {
   CellBench it(2);
   it.Submit(kJob, CellBench::Tasks(4, 4000, R"(,"gang":true)"));
