Fix: [Process] A stopped process ends at once

Cause: on the platform each instance that was stopped stayed until it was killed at the end of its grace time ("4 processes were still there ... and were killed"), 3.3 s after its line "stop". On the machine itself the same process ends in time. Ruled out: open calls, mesh, HTTP client, event log.

Change: RunMain writes the last lines and ends the process without static destruction.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -133,5 +133,5 @@
 }  // namespace bw
 
 int main(int argc, const char** argv) {
-  return bw::RunMain(bw::Main, argc, argv);
+  bw::RunMain(bw::Main, argc, argv);
 }
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -26,10 +26,15 @@
  public:
   EventWriter() : thread_([this](const std::stop_token& stop) { Run(stop); }) {}
 
-  ~EventWriter() {
-    thread_.request_stop();
-    ring_.Close();
-    thread_.join();
+  ~EventWriter() { Stop(); }
+
+  /// Writes the lines that wait, and takes no more.
+  void Stop() {
+    if (thread_.joinable()) {
+      thread_.request_stop();
+      ring_.Close();
+      thread_.join();
+    }
   }
 
   void Write(std::string line) {
@@ -96,13 +101,27 @@
   std::jthread thread_;
 };
 
+std::atomic<bool> started{false};
+
+EventWriter& Writer() {
+  static EventWriter writer;
+  started = true;
+  return writer;
+}
+
 }  // namespace
 
+void StopEventLog() {
+  if (started) {
+    Writer().Stop();
+  }
+}
+
 void LogEvent(Part part, const char* event, nlohmann::json fields) {
   if (!IsLogged(part, LogLevel::kInfo)) {
     return;
   }
-  static EventWriter writer;
+  EventWriter& writer = Writer();
   const Time now = BootClock::now();
   if (!writer.Allow(event, now)) {
     return;
--- a/src/event_log_func.h
+++ b/src/event_log_func.h
@@ -9,6 +9,9 @@
 
 namespace bw {
 
+/// Writes all lines that wait. What is logged afterwards is lost.
+void StopEventLog();
+
 /// Writes one line. @param fields An object; holds no key and no secret.
 void LogEvent(Part part, const char* event, nlohmann::json fields);
 
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -589,5 +589,5 @@
 }  // namespace bw::fake
 
 int main(int argc, const char** argv) {
-  return bw::RunMain(bw::fake::Main, argc, argv);
+  bw::RunMain(bw::fake::Main, argc, argv);
 }
--- a/src/process.cc
+++ b/src/process.cc
@@ -4,9 +4,11 @@
 #include <sys/resource.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <system_error>
 #include <thread>
 
+#include "event_log_func.h"
 #include "log_func.h"
 #include "process_func.h"
 #include "text_func.h"
@@ -152,13 +154,18 @@
   return out;
 }
 
-int RunMain(int (*main)(int, const char**), int argc, const char** argv) {
+void RunMain(int (*main)(int, const char**), int argc, const char** argv) {
+  int code = ToInt(ExitCode::kFailed);
   try {
-    return main(argc, argv);
+    code = main(argc, argv);
   } catch (const std::exception& e) {
     std::fprintf(stderr, "Ended by a fault: %s\n", e.what());
-    return ToInt(ExitCode::kFailed);
   }
+  StopEventLog();
+  std::fflush(nullptr);
+  // The log library's destructors wait for its threads, on the users' platform
+  // until the process is killed.
+  std::quick_exit(code);
 }
 
 void BlockSignals() {
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -41,9 +41,10 @@
                                            std::vector<ExtraOption> extra,
                                            int* exit_code);
 
-/// Runs a program's main function. @return Its exit code, or kFailed if an
-/// exception escaped from it.
-int RunMain(int (*main)(int, const char**), int argc, const char** argv);
+/// Runs a program's main function and ends the process with its exit code, or
+/// with kFailed if an exception escaped from it. Static objects are not
+/// destroyed.
+[[noreturn]] void RunMain(int (*main)(int, const char**), int argc, const char** argv);
 
 /// Blocks SIGTERM, SIGINT and SIGHUP for all threads. Call before any thread
 /// is started.
