Codechange: [Log] Appends to a slow store are spread over the time of an answer

The four calls that may be under way left 20 ms apart, so records that came just after them, those of starts mostly, waited until all were answered.

Change: the time between two calls is at least a quarter of the usual time of an answer.

Test: RecordLog.CallsToASlowStoreAreSpreadOverTheTimeOfAnAnswer (fails before).

--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -14,8 +14,10 @@
 constexpr milliseconds kOvertookPause{10};
 /// Calls under way at once; the store knows the last five again.
 constexpr size_t kMaxCalls = 4;
-/// Between two calls, unless none is under way.
+/// Least time between two calls, unless none is under way.
 constexpr milliseconds kCallSpacing{20};
+/// Weight of the newest answer in the usual time of an answer.
+constexpr int kNewestPart = 4;
 /// Bytes that the store's framing adds to a record.
 constexpr size_t kFrameBytes = 4;
 
@@ -81,7 +83,11 @@
 void RecordLog::Flush(Time now) {
   // The numbering is known only after the first answer.
   const size_t most = first_ ? 1 : kMaxCalls;
-  const bool soon = calls_.empty() || now - last_call_at_ >= kCallSpacing;
+  // Calls to a slow store are spread over the time of an answer: sent together,
+  // they would all be under way while the next records wait.
+  const Duration spacing =
+      std::max<Duration>(kCallSpacing, usual_answer_ / kMaxCalls);
+  const bool soon = calls_.empty() || now - last_call_at_ >= spacing;
   if (!waiting_.empty() && calls_.size() < most && soon) {
     last_call_at_ = now;
     calls_.push_back(NextCall());
@@ -89,6 +95,7 @@
   }
   for (auto& it : calls_) {
     if (!it.stored && !it.sending && now >= it.send_at) {
+      it.last_sent = now;
       Send(&it);
     }
   }
@@ -131,6 +138,7 @@
     return;
   }
   call->sending = false;
+  const Time now = BootClock::now();
   const bool out_of_order = answer.status == platform::StoreStatus::kOutOfOrder;
   const bool repeated_late =
       out_of_order && !first_ && answer.expected_sequence > sequence;
@@ -138,6 +146,7 @@
     first_ = false;
     last_failure_ = platform::StoreStatus::kOk;
     call->stored = true;
+    usual_answer_ += (now - call->last_sent - usual_answer_) / kNewestPart;
     FinishStored();
     return;
   }
@@ -145,6 +154,7 @@
     // The first append of this epoch: only the numbering differs.
     call->sequence = answer.expected_sequence;
     next_sequence_ = answer.expected_sequence + 1;
+    call->last_sent = now;
     Send(&*call);
     return;
   }
@@ -156,9 +166,9 @@
               {"sequence", sequence},
               {"expected", answer.expected_sequence}});
   }
-  const Time now = BootClock::now();
   switch (answer.status) {
     case platform::StoreStatus::kUnknown:
+      call->last_sent = now;
       Send(&*call);
       return;
     case platform::StoreStatus::kOutOfOrder:  // Overtook the call before it.
--- a/src/record_log_base.h
+++ b/src/record_log_base.h
@@ -56,6 +56,7 @@
     bool sending = false;
     Time send_at = kNever;
     Time first_sent = kNever;
+    Time last_sent = kNever;
   };
   Call NextCall();
   void Send(Call* call);
@@ -73,6 +74,7 @@
   uint64_t next_sequence_ = 1;
   bool first_ = true;  ///< No append of this epoch has been answered.
   Time last_call_at_ = kNever;
+  Duration usual_answer_{0};  ///< Time until an append is answered.
   platform::StoreStatus last_failure_ = platform::StoreStatus::kOk;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -253,6 +253,35 @@
   it.loop.Stop();
 }
 
+// Load: a slow store under a burst. All calls left together, and the records
+// that came right after them, of starts mostly, waited until all were answered.
+TEST(RecordLog, CallsToASlowStoreAreSpreadOverTheTimeOfAnAnswer) {
+  LogBench it(3);
+  constexpr milliseconds kSlow{400};
+  constexpr int kAnswers = 30;
+  it.loop.Start();
+  for (int n = 0; n < kAnswers; ++n) {
+    it.loop.Post([&] {
+      it.log->Keep({platform::MakeKeyedRecord("a", "1")}, [] {});
+      it.log->Flush(BootClock::now() - kSlow);
+    });
+    it.Pass(10);
+  }
+  it.loop.Stop();
+  const int before = it.store.appends;
+  const Time now = BootClock::now();
+  const auto keep_at = [&](milliseconds after) {
+    it.log->Keep({platform::MakeKeyedRecord("b", "1")}, [] {});
+    it.log->Flush(now + after);
+    return it.store.appends - before;
+  };
+  CHECK_EQUAL(1, keep_at(milliseconds(0)));
+  CHECK_EQUAL(1, keep_at(milliseconds(40)));
+  CHECK_EQUAL(2, keep_at(milliseconds(150)));
+  CHECK_EQUAL(2, keep_at(milliseconds(190)));
+  CHECK_EQUAL(3, keep_at(milliseconds(300)));
+}
+
 TEST(RecordLog, OnlyWhatDidNotLeaveIsTakenBack) {
   LogBench it(3);
   const uint64_t first = it.log->Keep({"xa"}, [] {});
