Fix: [Advice] Instances that have not answered yet get one question at a time

Ruled out: room (454 of 768 cores free), the store.

Change: an instance that has not answered this owner since it was last silent gets one question at a time, and only if no proven one is free.

Test: AdvicePool.UntriedInstancesGetOneQuestionEach (fails before).

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -128,17 +128,17 @@
   for (size_t i = 0; i < usable; ++i) {
     // Long questions go to the first ones, others rather to the last.
     const size_t k = is_long ? i : usable - 1 - i;
-    const bool overdue =
-        channels[k].overdue_at != kNever && channels[k].overdue_at <= now;
-    if (overdue || channels[k].avoid_until > now ||
-        channels[k].busy_until > now + backlog) {
+    const AdviceChannel& it = channels[k];
+    const bool overdue = it.overdue_at != kNever && it.overdue_at <= now;
+    const bool tried = it.proven || it.open == 0;
+    if (overdue || !tried || it.avoid_until > now ||
+        it.busy_until > now + backlog) {
       continue;
     }
-    if (channels[k].busy_until <= now) {
-      return k;
-    }
-    if (best == kNoChannel ||
-        channels[k].busy_until < channels[best].busy_until) {
+    const auto rank = [&](const AdviceChannel& of) {
+      return std::make_tuple(!of.proven, std::max(of.busy_until, now));
+    };
+    if (best == kNoChannel || rank(it) < rank(channels[best])) {
       best = k;
     }
   }
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -48,6 +48,8 @@
   Time busy_until = kNever;   ///< As far as is known.
   Time avoid_until = kNever;  ///< It did not answer.
   Time overdue_at = kNever;   ///< An answer is overdue from then; kNever: none.
+  uint32_t open = 0;          ///< Questions without an answer yet.
+  bool proven = false;        ///< It answered the last question that ended.
 
   auto operator<=>(const AdviceChannel&) const = default;
 };
@@ -56,7 +58,9 @@
 
 /// Chooses the instance that asks a question. Of several instances some are
 /// kept for quick questions, and some for all but long ones, so that a burst of
-/// long ones does not hold quick work up. @param expected Time of the question.
+/// long ones does not hold quick work up. One that has not answered yet may be
+/// dead: it comes last and gets one question at a time.
+/// @param expected Time of the question.
 /// @param urgent It may wait for a short while. @return kNoChannel if none can.
 size_t ChooseChannel(std::span<const AdviceChannel> channels,
                      milliseconds expected,
--- a/src/advice_pool.cc
+++ b/src/advice_pool.cc
@@ -24,16 +24,15 @@
   std::vector<AdviceChannel> channels;
   channels.reserve(members.size());
   for (const auto& it : members) {
-    channels.push_back(instances_[it].channel);
+    channels.push_back(instances_[it]);
   }
   const size_t n = ChooseChannel(channels, expected, urgent, now);
   if (n == kNoChannel) {
     return {};
   }
-  Instance& instance = instances_[members[n]];
-  AdviceChannel& channel = instance.channel;
+  AdviceChannel& channel = instances_[members[n]];
   channel.busy_until = std::max(channel.busy_until, now) + expected;
-  if (++instance.open == 1) {
+  if (++channel.open == 1) {
     channel.overdue_at = channel.busy_until + kAnswerSlack;
   }
   return members[n];
@@ -42,7 +41,7 @@
 milliseconds AdvicePool::GiveUpAfter(const std::string& address,
                                      Time now) const {
   return std::chrono::duration_cast<milliseconds>(
-             instances_.at(address).channel.busy_until - now) +
+             instances_.at(address).busy_until - now) +
          kGiveUpSlack;
 }
 
@@ -51,15 +50,15 @@
   if (it == instances_.end()) {
     return;
   }
-  Instance& instance = it->second;
-  AdviceChannel& channel = instance.channel;
-  instance.open -= std::min<uint32_t>(instance.open, 1);
+  AdviceChannel& channel = it->second;
+  channel.open -= std::min<uint32_t>(channel.open, 1);
+  channel.proven = end == QuestionEnd::kAnswered;
   if (end == QuestionEnd::kSilent) {
     channel.avoid_until = now + kAvoidSilent;
   } else if (end == QuestionEnd::kNotSent) {
     channel.avoid_until = std::max(channel.avoid_until, now + kReconnect);
   }
-  if (instance.open == 0) {
+  if (channel.open == 0) {
     channel.overdue_at = kNever;
     channel.busy_until = std::min(channel.busy_until, now);
   } else if (end == QuestionEnd::kAnswered) {
--- a/src/advice_pool_base.h
+++ b/src/advice_pool_base.h
@@ -37,11 +37,7 @@
   void OnEnd(const std::string& address, QuestionEnd end, Time now);
 
  private:
-  struct Instance {
-    AdviceChannel channel;
-    uint32_t open = 0;  ///< Questions without an answer yet.
-  };
-  std::map<std::string, Instance> instances_;
+  std::map<std::string, AdviceChannel> instances_;
 };
 
 }  // namespace bw
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -399,6 +399,30 @@
   CHECK(lost <= 20);
 }
 
+// Load: a new owner has a hundred jobs waiting, and one of the instances that
+// it knows of lost power together with the former owner.
+TEST(AdvicePool, UntriedInstancesGetOneQuestionEach) {
+  const std::vector<std::string> members = {"a", "b", "c"};
+  constexpr milliseconds kQuestion{10};
+  constexpr int kJobs = 100;
+  AdvicePool pool;
+  std::map<std::string, int> asked;
+  for (int n = 0; n < kJobs; ++n) {
+    ++asked[pool.Take(members, kQuestion, true, kStart)];
+  }
+  for (const auto& it : members) {
+    CHECK_EQUAL(1, asked[it]);
+  }
+  pool.OnEnd("a", QuestionEnd::kAnswered, kStart + kQuestion);
+  pool.OnEnd("b", QuestionEnd::kAnswered, kStart + kQuestion);
+  const Time later = kStart + 2 * kQuestion;
+  for (int n = 0; n < kJobs; ++n) {
+    ++asked[pool.Take(members, kQuestion, true, later)];
+  }
+  CHECK_EQUAL(1, asked["c"]);
+  CHECK(asked["a"] > 5);
+}
+
 // Load: an instance's process is killed; its questions do not leave.
 TEST(AdvicePool, QuestionThatDidNotLeaveGoesToAnotherAtOnce) {
   const std::vector<std::string> members = {"a", "b"};
