Codechange: [Cell] Room on the servers in a file of its own

Change: cell_room.cc has what a step may take and what is kept for gangs; IsServedBy and FreeFor stand once; WaitingTasks is taken out of PlaceStep.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -365,13 +365,8 @@
                        const Step& step,
                        Time now) const;
   void OpenPass(Pass* pass);
-  void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
-  bool IsPossible(const Job& job, const StepSpec& spec) const;
+  static std::vector<uint32_t> WaitingTasks(const Step& step, uint32_t* hidden);
   bool PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
-  StepNeed NeedOf(const StepSpec& spec,
-                  const Step& step,
-                  uint32_t count,
-                  Time now) const;
   uint32_t StartFitting(Pass* pass,
                         Job* job,
                         const StepRef& ref,
@@ -384,14 +379,6 @@
                    Step* step,
                    const StepNeed& need,
                    bool urgent);
-  static int64_t BackfillMs(const Pass& pass,
-                            const Job& job,
-                            const StepSpec& spec,
-                            const Step& step);
-  void FillRooms(Pass* pass,
-                 const Job& job,
-                 const StepRef& ref,
-                 const Step& step);
   void AskForAdvice(Pass* pass,
                     Job* job,
                     const StepRef& ref,
@@ -400,7 +387,6 @@
                     bool urgent);
   void AskAhead(Time now);
   void LogLongWaits(Time now) const;
-  uint32_t QuotaSlots(const Job& job, const Resources& need) const;
   void StartTask(Pass* pass,
                  Job* job,
                  const TaskRef& ref,
@@ -409,9 +395,27 @@
                  uint64_t run);
   void SendStart(const UnsentStart& start, Time now);
   uint64_t NextRun(const Job& job, const Task& task) const;
+
+  // cell_room.cc: room on the servers.
+  Resources RoomOf(const StepSpec& spec) const;
+  StepNeed NeedOf(const StepSpec& spec,
+                  const Step& step,
+                  uint32_t count,
+                  Time now) const;
+  uint32_t QuotaSlots(const Job& job, const Resources& need) const;
+  bool IsPossible(const Job& job, const StepSpec& spec) const;
+  void FillRooms(Pass* pass,
+                 const Job& job,
+                 const StepRef& ref,
+                 const Step& step);
+  static int64_t BackfillMs(const Pass& pass,
+                            const Job& job,
+                            const StepSpec& spec,
+                            const Step& step);
+  static Resources FreeFor(const Pass& pass, size_t n, int64_t task_ms);
+  void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
   bool Reserve(Pass* pass, const StepNeed& need);
   static std::vector<Release> ReleasesOf(const Server& server, Time now);
-  Resources RoomOf(const StepSpec& spec) const;
 
   // cell_record.cc: what is kept.
   void KeepChanges();
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -12,6 +12,10 @@
 /// A ticket must stay valid this long after a start is sent.
 inline constexpr milliseconds kTicketMargin{120};
 
+inline int64_t SignedMs(uint64_t n) {
+  return static_cast<int64_t>(n);
+}
+
 /// The backend servers of one service together, at the start of a pass.
 struct Cell::ServiceRoom {
   Resources total;
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -1,7 +1,6 @@
 // The cell's placing pass: which waiting steps get room, and where.
 
 #include <algorithm>
-#include <limits>
 
 #include "cell_pass.h"
 #include "event_log_func.h"
@@ -20,47 +19,8 @@
 constexpr uint32_t kMaxUnplacedBehind = 50;
 /// A step that no listed server can run is looked at again after this.
 constexpr milliseconds kImpossiblePause{1000};
-/// While less than half of a service's capacity is in use, only what few
-/// servers can run waits: there a step yields to gangs for this long at most.
-/// Below the 3 s of RULES, "LOST".
-constexpr milliseconds kStarvedAfter{1500};
-/// Work waits this long for other servers than one that is several times
-/// slower; most tasks take about as long.
-constexpr milliseconds kBadPatience{1000};
-
-/// Estimates are rough: a task counts as this much longer where it must not
-/// hold up a gang.
-constexpr double kOverrun = 2;
-/// Time of a task without an estimate.
-constexpr uint64_t kUnknownMs = 3000;
-
-int64_t SignedMs(uint64_t n) {
-  return static_cast<int64_t>(n);
-}
-
-uint64_t EstimateOrUsual(uint64_t estimate_ms) {
-  return estimate_ms > 0 ? estimate_ms : kUnknownMs;
-}
-
-/// @return How long a task of the step may hold its room.
-int64_t ExpectedMs(const StepSpec& spec) {
-  if (spec.perpetual) {
-    return std::numeric_limits<int64_t>::max();
-  }
-  return static_cast<int64_t>(
-      kOverrun * static_cast<double>(EstimateOrUsual(spec.estimate_ms)));
-}
-
 }  // namespace
 
-Resources Cell::RoomOf(const StepSpec& spec) const {
-  Resources out = spec.need;
-  if (spec.fills) {
-    out.millicores = 0;
-  }
-  return out;
-}
-
 WaitingStep Cell::Describe(const Job& job,
                            const StepRef& ref,
                            const Step& step,
@@ -169,132 +129,6 @@
   return {};
 }
 
-/// Leaves only servers usable whose ticket is still valid at `valid_at`.
-void Cell::LimitToTickets(Pass* pass, const Step& step, Time valid_at) {
-  std::vector<uint32_t> admitted;
-  for (const auto& it : step.advice.good) {
-    auto server = servers_.find(it.first);
-    if (it.second.until > valid_at && server != servers_.end() &&
-        server->second.pass_index != kNoServer &&
-        pass->rooms[server->second.pass_index].usable) {
-      admitted.push_back(server->second.pass_index);
-    }
-  }
-  for (auto& it : pass->rooms) {
-    it.usable = false;
-  }
-  for (uint32_t n : admitted) {
-    pass->rooms[n].usable = true;
-  }
-}
-
-/// @return How long a task of the step counts as holding room that is kept for
-/// a gang; 0: it need not heed the gang.
-int64_t Cell::BackfillMs(const Pass& pass,
-                         const Job& job,
-                         const StepSpec& spec,
-                         const Step& step) {
-  const auto room = pass.services.find(job.policy.service);
-  const bool half_empty =
-      room != pass.services.end() &&
-      room->second.free.millicores * 2 > room->second.total.millicores;
-  const bool starved =
-      half_empty && pass.now - step.waits_since > kStarvedAfter;
-  return starved ? 0 : ExpectedMs(spec);
-}
-
-void Cell::FillRooms(Pass* pass,
-                     const Job& job,
-                     const StepRef& ref,
-                     const Step& step) {
-  const StepSpec& spec = job.spec.steps[ref.step];
-  const int64_t task_ms = BackfillMs(*pass, job, spec, step);
-  pass->rooms.resize(pass->servers.size());
-  std::map<BackendId, uint32_t> of_step;
-  std::set<BackendId> failed_on;
-  for (const auto& it : step.tasks) {
-    if (it.phase == TaskPhase::kLive &&
-        (spec.per_server > 0 || spec.perpetual)) {
-      ++of_step[it.where];
-    }
-    if (it.phase == TaskPhase::kWaiting && it.failed_on.IsValid()) {
-      failed_on.insert(it.failed_on);
-    }
-  }
-  for (size_t n = 0; n < pass->servers.size(); ++n) {
-    const Server& server = *pass->servers[n];
-    const auto& labels = server.entry.labels;
-    ServerRoom& room = pass->rooms[n];
-    room = {};
-    room.total = server.entry.capacity;
-    room.free = pass->free[n].Without(KeptAgainst(pass->kept[n], task_ms));
-    room.rack = server.rack;
-    room.bad = pass->bad[n];
-    if (auto it = of_step.find(server.entry.id); it != of_step.end()) {
-      room.of_step = it->second;
-    }
-    room.penalty = server.strikes;
-    if (!failed_on.empty() && failed_on.contains(server.entry.id)) {
-      room.penalty += 1;
-    }
-    room.usable = server.entry.service == job.policy.service &&
-                  server.avoid_until <= pass->now &&
-                  (spec.label.empty() || std::find(labels.begin(), labels.end(),
-                                                   spec.label) != labels.end());
-    room.near_data =
-        spec.rack.empty() ||
-        std::find(labels.begin(), labels.end(), spec.rack) != labels.end();
-  }
-}
-
-uint32_t Cell::QuotaSlots(const Job& job, const Resources& need) const {
-  const AccountPolicy* account =
-      config_ ? config_->FindAccount(job.team) : nullptr;
-  if (account == nullptr) {
-    return 0xffffffff;
-  }
-  Resources used;
-  if (auto it = usage_.find(job.team); it != usage_.end()) {
-    used = it->second;
-  }
-  if (auto it = hidden_usage_.find(job.team); it != hidden_usage_.end()) {
-    used = used + it->second;
-  }
-  const auto slots = [](uint64_t most, uint64_t taken,
-                        uint64_t each) -> uint64_t {
-    if (most == 0 || each == 0) {
-      return 0xffffffff;
-    }
-    return taken >= most ? 0 : (most - taken) / each;
-  };
-  const Resources& most = account->maximum;
-  return static_cast<uint32_t>(std::min<uint64_t>(
-      {0xffffffff, slots(most.millicores, used.millicores, need.millicores),
-       slots(most.memory_mb, used.memory_mb, need.memory_mb),
-       slots(most.accelerators, used.accelerators, need.accelerators)}));
-}
-
-/// What the step's waiting tasks ask for. Wishes about racks are given up after
-/// waiting about as long as being far from the data costs.
-StepNeed Cell::NeedOf(const StepSpec& spec,
-                      const Step& step,
-                      uint32_t count,
-                      Time now) const {
-  StepNeed out;
-  out.avoid_bad = now - step.waits_since < kBadPatience;
-  out.task = RoomOf(spec);
-  out.count = count;
-  out.gang = spec.gang;
-  out.per_server = spec.per_server;
-  out.spread = spec.perpetual;
-  const auto waited = static_cast<double>(AgeMs(step.waits_since, now));
-  const double patience =
-      (options_.far_factor - 1) * static_cast<double>(spec.estimate_ms) / 2;
-  out.same_rack = spec.same_rack && waited < 2 * patience;
-  out.near_only = !spec.rack.empty() && waited < patience;
-  return out;
-}
-
 /// Places as many of the step's waiting tasks as fit. @return How many.
 uint32_t Cell::StartFitting(Pass* pass,
                             Job* job,
@@ -322,20 +156,19 @@
   return placed;
 }
 
-/// @return True if an empty server of those listed could run a task of the
-/// step.
-bool Cell::IsPossible(const Job& job, const StepSpec& spec) const {
-  StepNeed need;
-  need.task = RoomOf(spec);
-  return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
-    const BackendEntry& entry = it.second.entry;
-    const auto& labels = entry.labels;
-    const bool fits =
-        it.second.listed && entry.service == job.policy.service &&
-        (spec.label.empty() ||
-         std::find(labels.begin(), labels.end(), spec.label) != labels.end());
-    return fits && SlotsIn({}, entry.capacity, need) > 0;
-  });
+/// @return Indices of the tasks that may start. @param hidden How many more
+/// wait until it is known whether a former owner's runs of them go on.
+std::vector<uint32_t> Cell::WaitingTasks(const Step& step, uint32_t* hidden) {
+  std::vector<uint32_t> out;
+  for (uint32_t n = 0; n < step.tasks.size(); ++n) {
+    const Task& task = step.tasks[n];
+    if (task.phase == TaskPhase::kWaiting && task.hidden) {
+      ++*hidden;
+    } else if (task.phase == TaskPhase::kWaiting) {
+      out.push_back(n);
+    }
+  }
+  return out;
 }
 
 /// @return True if nothing of the step waits any more.
@@ -346,16 +179,8 @@
     return false;
   }
   const StepSpec& spec = job->spec.steps[ref.step];
-  std::vector<uint32_t> waiting;
   uint32_t hidden = 0;
-  for (uint32_t n = 0; n < step->tasks.size(); ++n) {
-    const Task& task = step->tasks[n];
-    if (task.phase == TaskPhase::kWaiting && task.hidden) {
-      ++hidden;
-    } else if (task.phase == TaskPhase::kWaiting) {
-      waiting.push_back(n);
-    }
-  }
+  const auto waiting = WaitingTasks(*step, &hidden);
   if (waiting.empty() && hidden == 0) {
     ready_.erase(ref);
     return true;
@@ -393,8 +218,7 @@
   if (need.count > 0) {
     const int64_t task_ms = BackfillMs(*pass, *job, spec, *step);
     for (size_t n = 0; n < rooms.size(); ++n) {
-      rooms[n].free =
-          pass->free[n].Without(KeptAgainst(pass->kept[n], task_ms));
+      rooms[n].free = FreeFor(*pass, n, task_ms);
     }
     pass->rooms = std::move(rooms);
     PrepareRoom(pass, job, ref, step, need, urgent);
@@ -420,53 +244,6 @@
   }
 }
 
-/// Keeps room for a gang: what comes later in this pass may not take it.
-/// @return False if the gang does not fit even on empty servers.
-bool Cell::Reserve(Pass* pass, const StepNeed& need) {
-  if (pass->releases.empty()) {
-    for (const Server* it : pass->servers) {
-      pass->releases.push_back(ReleasesOf(*it, pass->now));
-    }
-  }
-  constexpr int64_t kForever = std::numeric_limits<int64_t>::max();
-  for (size_t n = 0; n < pass->rooms.size(); ++n) {
-    const Resources kept = KeptAgainst(pass->kept[n], kForever);
-    pass->rooms[n].free = pass->free[n].Without(kept);
-    pass->rooms[n].owed = kept.Without(pass->free[n]);
-  }
-  const GangRoom room = ReserveForGang(pass->rooms, pass->releases, need);
-  if (room.tasks.empty()) {
-    return false;
-  }
-  ++pass->reservations;
-  for (size_t n = 0; n < room.tasks.size(); ++n) {
-    if (room.tasks[n] > 0) {
-      const Resources kept = need.task.Times(room.tasks[n]);
-      pass->kept[n].push_back({kept, room.complete_in_ms});
-      Resources& free = pass->services[pass->servers[n]->entry.service].free;
-      free = free.Without(kept);
-    }
-  }
-  return true;
-}
-
-/// When the server's runs give their room back, by their estimates. One that
-/// has outlasted its estimate is taken to go on for a part of it.
-std::vector<Release> Cell::ReleasesOf(const Server& server, Time now) {
-  constexpr int64_t kOutlastPart = 4;
-  std::vector<Release> out;
-  for (const auto& [run, live] : server.runs) {
-    const int64_t estimate = SignedMs(EstimateOrUsual(live.estimate_ms));
-    const int64_t ran =
-        live.sent == kNever ? 0 : SignedMs(AgeMs(live.sent, now));
-    const bool stopping = live.phase == RunPhase::kStopping;
-    out.push_back(
-        {stopping ? 0 : std::max(estimate - ran, estimate / kOutlastPart),
-         live.need});
-  }
-  return out;
-}
-
 void Cell::StartTask(Pass* pass,
                      Job* job,
                      const TaskRef& ref,
