Fix: [Advice] Questions of a burst are spread over all instances

Cause: after a take-over fifty quotes wait at once. All their questions went to the first instance that had answered, up to ten behind each other, as it came before the idle ones that had not; and each took 20 ms there in place of the 13 ms counted, so the last took 0.45 s (new line "advice": when asked, how long it took). Ruled out: room, the store's answers.

Change: an instance that has not answered yet comes before one that is busy for 30 ms or longer; a question counts 8 ms more than the service's own time. The line "advice" tells each answer.

Test: AdvicePool.QuestionsOfABurstAreSpreadOverAllInstances (fails before).

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -30,6 +30,9 @@
 /// Urgent questions may wait this long for an instance that still asks another.
 constexpr milliseconds kQuickBacklog{120};
 constexpr milliseconds kBacklog{30};
+/// An instance that may be dead is asked rather than one that is busy for
+/// longer than this.
+constexpr milliseconds kUntriedPenalty{30};
 
 /// Slots that a server is expected to give.
 uint32_t SlotsOf(const AdviceCandidate& it, const AdviceNeed& need) {
@@ -135,10 +138,11 @@
         it.busy_until > now + backlog) {
       continue;
     }
-    const auto rank = [&](const AdviceChannel& of) {
-      return std::make_tuple(!of.proven, std::max(of.busy_until, now));
+    const auto ready_at = [&](const AdviceChannel& of) {
+      return std::max(of.busy_until, now) +
+             (of.proven ? milliseconds(0) : kUntriedPenalty);
     };
-    if (best == kNoChannel || rank(it) < rank(channels[best])) {
+    if (best == kNoChannel || ready_at(it) < ready_at(channels[best])) {
       best = k;
     }
   }
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -59,7 +59,7 @@
 /// Chooses the instance that asks a question. Of several instances some are
 /// kept for quick questions, and some for all but long ones, so that a burst of
 /// long ones does not hold quick work up. One that has not answered yet may be
-/// dead: it comes last and gets one question at a time.
+/// dead: it comes after those that are free, and gets one question at a time.
 /// @param expected Time of the question.
 /// @param urgent It may wait for a short while. @return kNoChannel if none can.
 size_t ChooseChannel(std::span<const AdviceChannel> channels,
--- a/src/advice_pool.cc
+++ b/src/advice_pool.cc
@@ -5,8 +5,9 @@
 namespace bw {
 namespace {
 
-/// What an answer takes longer than the service alone: the way there and back
-/// and a busy instance.
+/// The way to the instance and from there to the service, and back: two calls.
+constexpr milliseconds kQuestionOverhead{8};
+/// What an answer may take longer than that on a busy instance.
 constexpr milliseconds kAnswerSlack{150};
 /// A question without an answer for that much longer is put to another one.
 constexpr milliseconds kGiveUpSlack{400};
@@ -31,7 +32,8 @@
     return {};
   }
   AdviceChannel& channel = instances_[members[n]];
-  channel.busy_until = std::max(channel.busy_until, now) + expected;
+  channel.busy_until =
+      std::max(channel.busy_until, now) + expected + kQuestionOverhead;
   if (++channel.open == 1) {
     channel.overdue_at = channel.busy_until + kAnswerSlack;
   }
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -4,6 +4,8 @@
 
 #include "advice_func.h"
 #include "cell_pass.h"
+#include "event_log_func.h"
+#include "text_func.h"
 
 namespace bw {
 namespace {
@@ -60,6 +62,7 @@
     names.push_back(ids[n]);
   }
   advice.asking = true;  // The answer may come within the call.
+  advice.asked_at = pass->now;
   if (port_->AskAdvice(ref, names, choice.expected, urgent)) {
     ++work_.questions;
     work_.questions_ms += static_cast<uint64_t>(choice.expected.count());
@@ -84,6 +87,14 @@
   if (!answer.not_sent) {
     advice.next_ask = now + (answer.answered ? kAskPause : 4 * kAskPause);
   }
+  LogEvent(Part::kPlacer, "advice",
+           {{"step", platform::StepName(ref)},
+            {"queue", job->queue.value},
+            {"named", asked.size()},
+            {"answered", answer.answered},
+            {"good", answer.good.size()},
+            {"took_ms", AgeMs(advice.asked_at, now)},
+            {"waited_ms", step->ready ? AgeMs(step->waits_since, now) : 0}});
   if (!answer.answered) {
     return;
   }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -239,6 +239,7 @@
   };
   struct AdviceState {
     bool asking = false;
+    Time asked_at = kNever;
     Time next_ask = kNever;
     std::map<BackendId, TicketInfo> good;
     std::set<BackendId> bad;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -423,6 +423,28 @@
   CHECK(asked["a"] > 5);
 }
 
+// Load: a new owner has fifty short jobs waiting. All questions went to the
+// first instance that had answered, 20 ms each one after the other.
+TEST(AdvicePool, QuestionsOfABurstAreSpreadOverAllInstances) {
+  std::vector<std::string> members;
+  for (int n = 0; n < 9; ++n) {
+    members.push_back("m" + std::to_string(n));
+  }
+  constexpr milliseconds kQuestion{13};
+  constexpr int kJobs = 50;
+  AdvicePool pool;
+  const std::string first = pool.Take(members, kQuestion, true, kStart);
+  pool.OnEnd(first, QuestionEnd::kAnswered, kStart + 2 * kQuestion);
+  std::map<std::string, int> asked;
+  for (int n = 0; n < kJobs; ++n) {
+    ++asked[pool.Take(members, kQuestion, true, kStart + 2 * kQuestion)];
+  }
+  for (const auto& it : members) {
+    CHECK(asked[it] >= 1);
+  }
+  CHECK(asked[first] <= 6);  // Those that answer in 0.12 s.
+}
+
 // Load: an instance's process is killed; its questions do not leave.
 TEST(AdvicePool, QuestionThatDidNotLeaveGoesToAnotherAtOnce) {
   const std::vector<std::string> members = {"a", "b"};
