Codechange: [Advice] A fourth of the instances is kept for quick questions

Cause: quotes come 39 to 48 a second, each with a question of about 20 ms: 0.8 to 1.0 of the one instance in nine that was kept for them, and twice that in a burst.

Change: a fourth of the instances in place of a fifth: two of nine.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds kLongAdvice{150};
 constexpr size_t kLongPartOf = 3;
 /// One of this many instances asks quick questions only.
-constexpr size_t kQuickPartOf = 5;
+constexpr size_t kQuickPartOf = 4;
 /// Urgent questions may wait this long for an instance that still asks another.
 constexpr milliseconds kQuickBacklog{120};
 constexpr milliseconds kBacklog{30};
