Fix: [Member] An owner to which the cell is not dealt asks once more before it leaves

A second standby had joined 0.04 s after the first and left again. The group deals anew for both; the holder's next answer lists nothing, and only the one after, with the new generation, gives the cell back. The owner had left by then, as it took the first answer for the end. Ruled out: the term, the records.

Change: it gives up acting at once, as before, but asks again before it leaves the group. The stand-in of the store deals in two steps now, as the platform does.

Test: Membership.OwnerStaysWhenAnotherMemberComesAndGoes (fails before).

--- a/src/fake/memory_store.h
+++ b/src/fake/memory_store.h
@@ -86,15 +86,19 @@
       answer.status = Status::kRefused;
     } else if (mood == Mood::kWell) {
       auto& group = groups[member.group];
-      if (std::find(group.members.begin(), group.members.end(),
-                    member.member) == group.members.end()) {
+      const bool is_new = std::find(group.members.begin(), group.members.end(),
+                                    member.member) == group.members.end();
+      if (is_new) {
         // As the platform's groups do, a newcomer may take the partition.
         group.members.insert(group.members.begin(), member.member);
         ++group.generation;
       }
       answer.status = Status::kOk;
       answer.generation = group.generation;
-      if (group.members.front() == member.member) {
+      // Who held it before a change has it again only once it has joined with
+      // the new generation.
+      const bool agreed = is_new || member.generation == group.generation;
+      if (group.members.front() == member.member && agreed) {
         answer.partitions.push_back({member.topic, 0});
       }
       topics[member.group] = member.topic;
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -135,15 +135,22 @@
   const bool holds =
       std::find(answer.partitions.begin(), answer.partitions.end(),
                 CellPartition()) != answer.partitions.end();
-  if (owns_ && (!holds || (lapsed && changed))) {
+  const bool owned = owns_;
+  if (owned && (!holds || (lapsed && changed))) {
     Lose(holds ? "the term lapsed" : "dealt to another member");
   }
   if (!holds) {
-    if (!answer.partitions.empty() || changed) {
-      LeaveCell();  // Another standby was faster.
+    if (owned) {
+      // Another member may have come and gone: the next answer tells to whom
+      // the cell is dealt now.
+      dealt_away_ = true;
+      next_join_ = BootClock::now();
+    } else if (dealt_away_ || changed) {
+      LeaveCell();  // Another member has it.
     }
     return;
   }
+  dealt_away_ = false;
   if (!owns_) {
     owns_ = true;
     owner_address_ = options_.address;
@@ -167,6 +174,7 @@
   member_ = NewMemberName();
   joins_in_flight_ = 0;
   generation_ = 0;
+  dealt_away_ = false;
   role_ = Role::kWatching;
   owner_doubted_ = true;
 }
--- a/src/membership_base.h
+++ b/src/membership_base.h
@@ -104,6 +104,7 @@
   Time members_asked_ = kNever;
   bool asking_owner_ = false;
   bool asking_members_ = false;
+  bool dealt_away_ = false;  ///< By the last answer, after it was ours.
   bool owner_doubted_ = true;
   bool left_ = false;
   std::atomic<bool> owns_{false};
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -128,6 +128,22 @@
   it.Stop();
 }
 
+// Load: all instances start again after a loss of power, and a second standby
+// joins and leaves just after the first has gained the cell.
+TEST(Membership, OwnerStaysWhenAnotherMemberComesAndGoes) {
+  fake::MemoryStore store;
+  Member it(&store, "a");
+  it.Pass(1200);
+  const uint64_t before = it.gained;
+  const uint64_t generation = store.groups[kGroup].generation += 2;
+  it.Pass(400);
+  CHECK_EQUAL(1, it.losses);
+  CHECK(it.gained > before);
+  CHECK(it.membership->MayAct());
+  CHECK_EQUAL(generation, store.groups[kGroup].generation);
+  it.Stop();
+}
+
 // Load: the owner's zone is cut off, another instance takes over, the cut
 // heals.
 TEST(Membership, CutOffOwnerDoesNotTakeTheCellBack) {
