--- a/src/process_func.h
+++ b/src/process_func.h
@@ -44,7 +44,9 @@
 /// Runs a program's main function and ends the process with its exit code, or
 /// with kFailed if an exception escaped from it. Static objects are not
 /// destroyed.
-[[noreturn]] void RunMain(int (*main)(int, const char**), int argc, const char** argv);
+[[noreturn]] void RunMain(int (*main)(int, const char**),
+                          int argc,
+                          const char** argv);
 
 /// Blocks SIGTERM, SIGINT and SIGHUP for all threads. Call before any thread
 /// is started.
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -426,10 +426,8 @@
 // Load: a new owner has fifty short jobs waiting. All questions went to the
 // first instance that had answered, 20 ms each one after the other.
 TEST(AdvicePool, QuestionsOfABurstAreSpreadOverAllInstances) {
-  std::vector<std::string> members;
-  for (int n = 0; n < 9; ++n) {
-    members.push_back("m" + std::to_string(n));
-  }
+  const std::vector<std::string> members = {"a", "b", "c", "d", "e",
+                                            "f", "g", "h", "i"};
   constexpr milliseconds kQuestion{13};
   constexpr int kJobs = 50;
   AdvicePool pool;
