--- a/src/advice.cc
+++ b/src/advice.cc
@@ -133,8 +133,8 @@
     const size_t k = is_long ? i : usable - 1 - i;
     const AdviceChannel& it = channels[k];
     const bool overdue = it.overdue_at != kNever && it.overdue_at <= now;
-    const bool tried = it.proven || it.open == 0;
-    if (overdue || !tried || it.avoid_until > now ||
+    const bool untried_and_asked = !it.proven && it.open > 0;
+    if (overdue || untried_and_asked || it.avoid_until > now ||
         it.busy_until > now + backlog) {
       continue;
     }
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -16,6 +16,15 @@
   return {JobId(job), 0, step, index};
 }
 
+/// Gives one server a label of its own. @return The part of a step's text that
+/// asks for it.
+std::string LabelFirstServer(CellBench* bench) {
+  FakeBackend& rare = bench->backends.at(BackendId("b0"));
+  rare.entry.labels.emplace_back("rare");
+  bench->cell->SetBackend(rare.entry, bench->now);
+  return R"(,"requires":"rare")";
+}
+
 }  // namespace
 
 TEST_GROUP(Cell){};
@@ -304,10 +313,7 @@
 // others are nearly empty. Steps that come after those were never looked at.
 TEST(Cell, ManyStepsWithoutRoomDoNotHideTheOthers) {
   CellBench it(2);
-  FakeBackend& rare = it.backends.at(BackendId("b0"));
-  rare.entry.labels.emplace_back("rare");
-  it.cell->SetBackend(rare.entry, it.now);
-  const std::string needs_rare = R"(,"requires":"rare")";
+  const std::string needs_rare = LabelFirstServer(&it);
   it.Submit(kOther, CellBench::Tasks(1, 8000, needs_rare));
   constexpr int kMany = 400;
   for (int n = 0; n < kMany; ++n) {
@@ -434,10 +440,7 @@
 // the estimates say again and again that the gang is about to start.
 TEST(Cell, GangsDoNotHoldOthersUpForLongInANearlyEmptyCell) {
   CellBench it(4);
-  FakeBackend& rare = it.backends.at(BackendId("b0"));
-  rare.entry.labels.emplace_back("rare");
-  it.cell->SetBackend(rare.entry, it.now);
-  const std::string needs_rare = R"(,"requires":"rare")";
+  const std::string needs_rare = LabelFirstServer(&it);
   it.Submit(kOther, CellBench::Tasks(1, 6000, needs_rare));
   it.Submit(kJob, CellBench::Tasks(1, 8000, needs_rare + R"(,"gang":true)"));
   const char* const small = "00000000000000a3";
