Feature: [Metric] Processor time by thread and delay of the core queue

The incident at 350 backend servers leaves open what the owner's processor time goes to: the logs had passes and waiting steps only. Metrics bw_cpu_seconds{thread=...} and bw_max_queue_delay_seconds, and both in the line cell_state.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -2,6 +2,7 @@
 
 #include "event_log_func.h"
 #include "platform/deployment.h"
+#include "thread_cpu_func.h"
 
 namespace bw {
 namespace {
@@ -141,6 +142,16 @@
   metrics_.Set("bw_renewal_age_seconds", "",
                membership_.RenewalAgeMs(now) / 1000.0);
   metrics_.Set("bw_open_calls", "", static_cast<double>(front_.OpenCalls()));
+  const auto cpu_us = ReadThreadCpu();
+  for (const auto& it : cpu_us) {
+    constexpr double kMicrosPerSecond = 1e6;
+    metrics_.Set("bw_cpu_seconds", "thread=\"" + it.first + "\"",
+                 static_cast<double>(it.second) / kMicrosPerSecond);
+  }
+  const auto queue_delay =
+      std::chrono::duration_cast<milliseconds>(core_.TakeMaxQueueDelay());
+  metrics_.Set("bw_max_queue_delay_seconds", "",
+               static_cast<double>(queue_delay.count()) / 1000.0);
   if (owner_.IsActive()) {
     LogEvent(Part::kPlacer, "cell_state",
              {{"jobs", counts.jobs},
@@ -156,7 +167,9 @@
               {"questions_ms", counts.advice_query_ms},
               {"advice_busy", counts.advice_busy},
               {"members", membership_.Members().size()},
-              {"queued_steps", core_.QueueSize()}});
+              {"queued_steps", core_.QueueSize()},
+              {"max_queue_ms", queue_delay.count()},
+              {"cpu_us", cpu_us}});
   }
 }
 
--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -7,6 +7,7 @@
 
 #include "event_log_func.h"
 #include "ring.h"
+#include "thread_cpu_func.h"
 
 namespace bw {
 namespace {
@@ -70,6 +71,7 @@
   };
 
   void Run(const std::stop_token& stop) {
+    const ScopedThreadCpu cpu("log");
     while (!stop.stop_requested()) {
       std::this_thread::sleep_for(kFlushInterval);
       Flush();
--- a/src/event_loop_base.h
+++ b/src/event_loop_base.h
@@ -2,10 +2,13 @@
 // tick, and detects that the thread was suspended.
 #pragma once
 
+#include <algorithm>
+#include <atomic>
 #include <functional>
 #include <thread>
 
 #include "ring.h"
+#include "thread_cpu_func.h"
 
 namespace bw {
 
@@ -33,13 +36,17 @@
 
   /// Queues a callback. @return False if the queue is full or closed; the
   /// callback is dropped.
-  bool Post(Callback callback) { return ring_.Push(callback); }
+  bool Post(Callback callback) {
+    Queued item{std::move(callback), BootClock::now()};
+    return ring_.Push(item);
+  }
 
   /// Queues a callback; blocks while the queue is full. The callback is dropped
   /// only if the loop has been stopped.
   /// @pre Not called on the loop's own thread (would deadlock).
   void PostBlocking(Callback callback) {
-    while (!ring_.Push(callback) && !ring_.closed()) {
+    Queued item{std::move(callback), BootClock::now()};
+    while (!ring_.Push(item) && !ring_.closed()) {
       std::this_thread::sleep_for(milliseconds(1));
     }
   }
@@ -51,6 +58,12 @@
   /// @return The number of queued callbacks.
   size_t QueueSize() const { return ring_.size(); }
 
+  /// @return The longest time that a callback was queued since the last call.
+  /// Thread-safe.
+  Duration TakeMaxQueueDelay() {
+    return Duration(max_queue_delay_.exchange(Duration::zero().count()));
+  }
+
   /// Ends the thread; callbacks still queued may not run.
   void Stop() {
     ring_.Close();
@@ -63,18 +76,26 @@
  private:
   static constexpr size_t kRingSize = 16'384;  ///< Callbacks.
 
+  struct Queued {
+    Callback callback;
+    Time queued_at;
+  };
+
   void Run(const std::stop_token& stop) {
+    const ScopedThreadCpu cpu("core");
     Time last = BootClock::now();
     Time next_tick = last;
     while (!stop.stop_requested()) {
-      auto callback = ring_.PopUntil(next_tick);
+      auto item = ring_.PopUntil(next_tick);
       const Time now = BootClock::now();
       if (now - last > gap_ + every_) {
         on_gap_();
       }
       last = now;
-      if (callback) {
-        (*callback)();
+      if (item) {
+        max_queue_delay_ =
+            std::max(max_queue_delay_.load(), (now - item->queued_at).count());
+        item->callback();
       }
       if (now >= next_tick) {
         tick_();
@@ -91,7 +112,8 @@
   const Callback tick_;
   const Callback on_gap_;
   Callback idle_;
-  Ring<Callback> ring_{kRingSize};
+  Ring<Queued> ring_{kRingSize};
+  std::atomic<Duration::rep> max_queue_delay_{0};
   std::jthread thread_;
 };
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "../ring.h"
+#include "../thread_cpu_func.h"
 
 namespace bw::net {
 namespace {
@@ -161,6 +162,7 @@
 
  private:
   void Run(const std::stop_token& stop) {
+    const ScopedThreadCpu cpu("http_client");
     while (!stop.stop_requested()) {
       while (auto transfer = calls_.TryPop()) {
         Begin(std::move(*transfer));
--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -12,6 +12,7 @@
 
 #include "../log_func.h"
 #include "../ring.h"
+#include "../thread_cpu_func.h"
 
 namespace bw::net {
 namespace {
@@ -120,6 +121,7 @@
   }
 
   void Run(const std::stop_token& stop) {
+    const ScopedThreadCpu cpu("mesh");
     while (!stop.stop_requested()) {
       std::vector<zmq::pollitem_t> items = {
           {nullptr, wake_fd_, ZMQ_POLLIN, 0},
