--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -9,6 +9,7 @@
 #include <future>
 #include <thread>
 
+#include "../src/thread_cpu_func.h"
 #include "support/process.h"
 
 namespace bw::test {
@@ -75,6 +76,68 @@
   std::thread thread_;
 };
 
+/// Responds at once to requests whose path contains "quick" and never to
+/// others, like a backend server with a long poll and nothing to report.
+class PollServer {
+ public:
+  explicit PollServer(int port)
+      : acceptor_(io_,
+                  Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
+                                static_cast<uint16_t>(port))) {
+    Accept();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~PollServer() {
+    io_.stop();
+    thread_.join();
+  }
+
+  int held() const { return held_; }
+
+ private:
+  struct Connection {
+    explicit Connection(Tcp::socket it) : socket(std::move(it)) {}
+    Tcp::socket socket;
+    std::string buf;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](std::error_code ec, Tcp::socket socket) {
+      if (!ec) {
+        Read(std::make_shared<Connection>(std::move(socket)));
+      }
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<Connection>& it) {
+    asio::async_read_until(
+        it->socket, asio::dynamic_buffer(it->buf), "\r\n\r\n",
+        [this, it](std::error_code ec, size_t n) {
+          if (ec) {
+            return;
+          }
+          const bool quick =
+              it->buf.substr(0, n).find("quick") != std::string::npos;
+          it->buf.erase(0, n);
+          if (quick) {
+            asio::write(it->socket,
+                        asio::buffer(std::string(
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
+                        ec);
+          } else {
+            ++held_;
+          }
+          Read(it);
+        });
+  }
+
+  asio::io_context io_;
+  Tcp::acceptor acceptor_;
+  std::atomic<int> held_{0};
+  std::thread thread_;
+};
+
 net::HttpResult SendAndWait(net::HttpClient* client,
                             const net::HttpCall& call,
                             std::function<bool()> may_send = nullptr) {
@@ -84,10 +147,48 @@
   return done.get_future().get();
 }
 
+net::HttpCall CallTo(int port, const std::string& path) {
+  net::HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(port) + path;
+  call.timeout = milliseconds(60'000);
+  return call;
+}
+
+/// @return Processor time of the client for one call while `open` long polls
+/// are pending, in microseconds.
+double CallCostUs(int open) {
+  const int port = FreePorts(1);
+  PollServer server(port);
+  auto client = net::MakeHttpClient(2000);
+  for (int n = 0; n < open; ++n) {
+    client->Send(CallTo(port, "/hold"), {}, [](const net::HttpResult&) {});
+  }
+  CHECK(Eventually([&] { return server.held() == open; }));
+  SendAndWait(client.get(), CallTo(port, "/quick"));  // Opens the connection.
+  constexpr int kCalls = 300;
+  const uint64_t before = ReadThreadCpu()["http_client"];
+  for (int n = 0; n < kCalls; ++n) {
+    CHECK(SendAndWait(client.get(), CallTo(port, "/quick")).Ok());
+  }
+  return static_cast<double>(ReadThreadCpu()["http_client"] - before) / kCalls;
+}
+
 }  // namespace
 
 TEST_GROUP(HttpClient){};
 
+// With one long poll for each backend server, a cost that grows with the polls
+// makes the owner's load grow with the square of the fleet.
+TEST(HttpClient, CostOfACallDoesNotGrowWithPendingCalls) {
+  const double few = CallCostUs(20);
+  const double many = CallCostUs(700);
+  constexpr double kMaxGrowth = 2;
+  CHECK_TEXT(many < kMaxGrowth * few,
+             ("us per call: " + std::to_string(few) + " with 20 pending, " +
+              std::to_string(many) + " with 700")
+                 .c_str());
+}
+
 TEST(HttpClient, ReusedConnectionThatDiesIsNotSentAgain) {
   const int port = FreePorts(1);
   FlakyServer server(port);
