Fix: [Http] Cost of an event grew with the open transfers

Cause: the client called curl_multi_perform and curl_multi_poll, which look at every transfer, for each event. The owner keeps one long poll open for each backend server, and events grow with the servers too: cost grew with the square of the fleet. Class: work per event that is proportional to the fleet.

Evidence: HttpClient.CostOfACallDoesNotGrowWithPendingCalls failed before: 55, 66, 48 us for a call beside 20 pending long polls, 1,286, 1,260, 1,048 us beside 700 (three runs, each poll to a server of its own; with all polls to one server 57 and 1,343). The connection cache of libcurl is searched by server, so the test uses as many servers as polls, as the owner does.

Change: curl_multi_socket_action on an epoll set; sockets that are not ready cost nothing. Now the test passes (three of three). Epoll is used directly: Asio's async_wait costs one more system call for each event.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,8 +1,12 @@
 #include "http_client.h"
 
 #include <curl/curl.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <atomic>
 #include <thread>
 #include <unordered_map>
@@ -18,6 +22,7 @@
 constexpr size_t kCallRingSize = 16'384;  ///< Calls queued for the thread.
 /// Longest wait without events; new calls and socket events end it earlier.
 constexpr int kMaxPollMs = 1000;
+constexpr int kMaxEvents = 256;  ///< Events handled after one wait.
 constexpr int64_t kMaxConnectMs = 2000;
 constexpr long kMaxCachedConnections = 1024;  ///< Kept open for reuse.
 
@@ -131,21 +136,31 @@
   result.content_type = type == nullptr ? "" : type;
 }
 
+/// Drives libcurl by socket events, so that the cost of an event does not
+/// depend on the number of open transfers.
 class CurlClient : public HttpClient {
  public:
   explicit CurlClient(long connections_per_host)
-      : calls_(kCallRingSize), multi_(curl_multi_init()) {
+      : calls_(kCallRingSize),
+        multi_(curl_multi_init()),
+        epoll_fd_(epoll_create1(EPOLL_CLOEXEC)),
+        wake_fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
     curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                       connections_per_host);
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, OnSocketInterest);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    Watch(EPOLL_CTL_ADD, wake_fd_, EPOLLIN);
     thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
   }
 
   ~CurlClient() override {
     thread_.request_stop();
-    curl_multi_wakeup(multi_);
+    Wake();
     thread_.join();
     curl_multi_cleanup(multi_);
+    close(wake_fd_);
+    close(epoll_fd_);
   }
 
   void Send(HttpCall call, std::function<bool()> may_send, Done done) override {
@@ -154,7 +169,7 @@
     transfer->may_send = std::move(may_send);
     transfer->done = std::move(done);
     if (calls_.Push(transfer)) {
-      curl_multi_wakeup(multi_);
+      Wake();
     } else {
       transfer->done(HttpResult{DeliveryStatus::kNotSent, 0, {}, {}});
     }
@@ -163,14 +178,21 @@
  private:
   void Run(const std::stop_token& stop) {
     const ScopedThreadCpu cpu("http_client");
+    std::array<epoll_event, kMaxEvents> events{};
     while (!stop.stop_requested()) {
+      const int n =
+          epoll_wait(epoll_fd_, events.data(), kMaxEvents, MaxWaitMs());
+      for (int i = 0; i < n; ++i) {
+        HandleEvent(events[static_cast<size_t>(i)]);
+      }
       while (auto transfer = calls_.TryPop()) {
         Begin(std::move(*transfer));
       }
-      int running = 0;
-      curl_multi_perform(multi_, &running);
+      if (MaxWaitMs() == 0) {  // New calls and timeouts.
+        int running = 0;
+        curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+      }
       FinishCompleted();
-      curl_multi_poll(multi_, nullptr, 0, kMaxPollMs, nullptr);
     }
     for (auto& it : active_) {
       curl_multi_remove_handle(multi_, it.first);
@@ -179,6 +201,64 @@
     active_.clear();
   }
 
+  /// @return The time until libcurl has to handle a timeout, in milliseconds.
+  int MaxWaitMs() const {
+    long ms = -1;
+    curl_multi_timeout(multi_, &ms);
+    return ms < 0 ? kMaxPollMs
+                  : static_cast<int>(std::min<long>(ms, kMaxPollMs));
+  }
+
+  void HandleEvent(const epoll_event& event) {
+    if (event.data.fd == wake_fd_) {
+      uint64_t wakes = 0;
+      [[maybe_unused]] auto n = read(wake_fd_, &wakes, sizeof(wakes));
+      woken_ = false;  // Before the queue is read, so that no call is missed.
+      return;
+    }
+    const int ready =
+        ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+        ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+        ((event.events & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+    int running = 0;
+    curl_multi_socket_action(multi_, event.data.fd, ready, &running);
+  }
+
+  /// Called by libcurl when the events that it waits for on a socket change.
+  /// @param watched Not null if the socket is in the epoll set.
+  static int OnSocketInterest(CURL*,
+                              curl_socket_t fd,
+                              int what,
+                              void* user,
+                              void* watched) {
+    auto* client = static_cast<CurlClient*>(user);
+    if (what == CURL_POLL_REMOVE) {
+      client->Watch(EPOLL_CTL_DEL, fd, 0);
+      return 0;
+    }
+    const uint32_t events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) |
+                            ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+    client->Watch(watched == nullptr ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, fd,
+                  events);
+    curl_multi_assign(client->multi_, fd, client);
+    return 0;
+  }
+
+  void Watch(int operation, int fd, uint32_t events) const {
+    epoll_event event{};
+    event.events = events;
+    event.data.fd = fd;
+    epoll_ctl(epoll_fd_, operation, fd, &event);
+  }
+
+  /// Makes the thread look at the queue of calls.
+  void Wake() {
+    if (!woken_.exchange(true)) {
+      const uint64_t one = 1;
+      [[maybe_unused]] auto n = write(wake_fd_, &one, sizeof(one));
+    }
+  }
+
   void Begin(std::unique_ptr<Transfer> transfer) {
     if (transfer->may_send && !transfer->may_send()) {
       transfer->done(HttpResult{DeliveryStatus::kNotSent, 0, {}, {}});
@@ -216,6 +296,9 @@
 
   Ring<std::unique_ptr<Transfer>> calls_;
   CURLM* multi_;
+  const int epoll_fd_;
+  const int wake_fd_;
+  std::atomic<bool> woken_{false};  ///< `wake_fd_` was not read since a Wake.
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> active_;
   std::vector<CURL*> idle_;  ///< Easy handles available for reuse.
   std::jthread thread_;
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -77,13 +77,12 @@
 };
 
 /// Responds at once to requests whose path contains "quick" and never to
-/// others, like a backend server with a long poll and nothing to report.
+/// others, like backend servers with a long poll and nothing to report. Listens
+/// on all loopback addresses.
 class PollServer {
  public:
   explicit PollServer(int port)
-      : acceptor_(io_,
-                  Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
-                                static_cast<uint16_t>(port))) {
+      : acceptor_(io_, Tcp::endpoint(Tcp::v4(), static_cast<uint16_t>(port))) {
     Accept();
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -147,9 +146,13 @@
   return done.get_future().get();
 }
 
-net::HttpCall CallTo(int port, const std::string& path) {
+/// @param host Number of the backend server.
+net::HttpCall CallTo(int host, int port, const std::string& path) {
+  constexpr int kHostsPerNet = 250;
   net::HttpCall call;
-  call.url = "http://127.0.0.1:" + std::to_string(port) + path;
+  call.url = "http://127.0." + std::to_string(host / kHostsPerNet) + "." +
+             std::to_string(1 + host % kHostsPerNet) + ":" +
+             std::to_string(port) + path;
   call.timeout = milliseconds(60'000);
   return call;
 }
@@ -159,16 +162,17 @@
 double CallCostUs(int open) {
   const int port = FreePorts(1);
   PollServer server(port);
-  auto client = net::MakeHttpClient(2000);
+  constexpr long kConnectionsPerHost = 8;
+  auto client = net::MakeHttpClient(kConnectionsPerHost);
   for (int n = 0; n < open; ++n) {
-    client->Send(CallTo(port, "/hold"), {}, [](const net::HttpResult&) {});
+    client->Send(CallTo(n, port, "/hold"), {}, [](const net::HttpResult&) {});
   }
   CHECK(Eventually([&] { return server.held() == open; }));
-  SendAndWait(client.get(), CallTo(port, "/quick"));  // Opens the connection.
+  SendAndWait(client.get(), CallTo(0, port, "/quick"));  // Connects.
   constexpr int kCalls = 300;
   const uint64_t before = ReadThreadCpu()["http_client"];
   for (int n = 0; n < kCalls; ++n) {
-    CHECK(SendAndWait(client.get(), CallTo(port, "/quick")).Ok());
+    CHECK(SendAndWait(client.get(), CallTo(0, port, "/quick")).Ok());
   }
   return static_cast<double>(ReadThreadCpu()["http_client"] - before) / kCalls;
 }
