Fix: [Membership] The owner was chosen without regard to its processor share

Cause: standbys joined after a random time of at most 0.7 s. Three of four instances of the grown sites have a quarter of the others' processor share, so one of those usually won; it could not keep up, renewed late, and lost the cell to another small one. With 39 instances in 0.7 s two joined within a round trip, the group dealt anew, and the records were loaded once more. Class: a choice among equals, applied to instances that differ, and a delay that does not grow with their number.

Change: the share of the processor is part of the name in the fleet group. A candidate waits 50 ms for each listed instance that is larger, or equal with a lower address. An owner with less than half of the share of the largest hands the cell over to it (a cold start may begin with any instance) once nothing waits to be stored; the same offer after SIGTERM saves the standbys' search.

Evidence: Membership.LargerInstanceIsFirstToJoin fails with a delay of 0 for each rank; the others test what is new.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -37,6 +37,10 @@
   out.grace = ms("bounds.grace_s", kMsPerSecond);
   out.membership.name = settings.Text("instance.name");
   out.membership.address = at(port);
+  constexpr double kMillicoresPerCore = 1000;
+  out.membership.millicores = static_cast<uint32_t>(
+      settings.Real("instance.cpu_share") *
+      settings.Real("instance.cpu_cores") * kMillicoresPerCore);
   const auto wall = std::chrono::system_clock::now().time_since_epoch();
   out.membership.incarnation = static_cast<uint64_t>(
       std::chrono::duration_cast<milliseconds>(wall).count());
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -1,5 +1,7 @@
 #include "entry_base.h"
 
+#include <utility>
+
 #include "event_log_func.h"
 #include "platform/deployment.h"
 #include "thread_cpu_func.h"
@@ -11,6 +13,8 @@
 /// A longer interruption of the core thread is logged.
 constexpr milliseconds kCoreGap{1000};
 constexpr long kConnectionsPerHost = 8;
+/// Standbys find that there is no owner within this time.
+constexpr milliseconds kMaxOfferTime{1000};
 constexpr milliseconds kMetricsEvery{1000};
 /// The load balancer stops sending callers after two failed readiness checks,
 /// which are one second apart.
@@ -53,8 +57,12 @@
   front_.SetMesh(mesh_.get());
   config_.Start(
       [this](const ConfigWatch::ConfigPtr& it) { owner_.OnConfig(it); });
-  membership_.Start([this](uint64_t generation) { owner_.OnGain(generation); },
-                    [this] { owner_.OnLose(); });
+  membership_.Start({[this](uint64_t generation) { owner_.OnGain(generation); },
+                     [this] { owner_.OnLose(); },
+                     [this](const std::string& to) {
+                       LogEvent(Part::kMember, "cell_offered", {{"to", to}});
+                       OfferCell(to, BootClock::now() + kMaxOfferTime);
+                     }});
   core_.SetIdleCallback([this] { owner_.Idle(BootClock::now()); });
   core_.Start();
   net::HttpServerOptions front;
@@ -113,12 +121,35 @@
   owner_.Tick(now);
   front_.Tick(now);
   UpdateMetrics(now);
-  if (draining_ && !leaving_ && owner_.IsFlushed()) {
+  if (unsent_offer_) {
+    const UnsentOffer offer = *std::exchange(unsent_offer_, std::nullopt);
+    OfferCell(offer.to, offer.until);
+  }
+  if (!owner_.IsFlushed()) {
+    return;
+  }
+  if (!draining_) {
+    membership_.HandOverToLarger(now);
+  } else if (!leaving_) {
     leaving_ = true;
     membership_.Leave([this] { handed_over_ = true; });
   }
 }
 
+/// Offers the cell again while there is no connection to the instance. Without
+/// an offer, a standby finds that there is no owner.
+void Entry::OfferCell(const std::string& to, Time until) {
+  constexpr milliseconds kOfferTimeout{1000};
+  proto::Envelope offer;
+  offer.mutable_cell_offer();
+  mesh_->SendRequest(
+      to, std::move(offer), kOfferTimeout, {}, [this, to, until] {
+        if (BootClock::now() < until) {
+          core_.Post([this, to, until] { unsent_offer_ = {to, until}; });
+        }
+      });
+}
+
 void Entry::UpdateMetrics(Time now) {
   if (now < next_metrics_) {
     return;
@@ -179,6 +210,8 @@
     core_.Post([this, call = request.cell_call(), reply] {
       HandleCellCall(call, reply);
     });
+  } else if (request.has_cell_offer()) {
+    core_.Post([this] { membership_.AcceptOffer(); });
   } else if (request.has_advice_call()) {
     core_.Post([this, call = request.advice_call(), reply] {
       HandleAdviceCall(call, reply);
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "advisor_base.h"
@@ -50,6 +51,7 @@
  private:
   void Tick();
   void OnMeshRequest(const proto::Envelope& request, net::Mesh::Reply reply);
+  void OfferCell(const std::string& to, Time until);
   void HandleCellCall(const proto::CellCall& call, net::Mesh::Reply reply);
   void HandleAdviceCall(const proto::AdviceCall& call, net::Mesh::Reply reply);
   net::HttpResponse ReadyPage(const net::HttpRequest& request) const;
@@ -70,6 +72,12 @@
   std::unique_ptr<net::HttpServer> front_server_;
   std::unique_ptr<net::HttpServer> ready_server_;
   std::unique_ptr<net::HttpServer> metrics_server_;
+  /// An offer of the cell that waits for a connection.
+  struct UnsentOffer {
+    std::string to;  ///< Mesh address.
+    Time until;
+  };
+  std::optional<UnsentOffer> unsent_offer_;
   Time next_metrics_ = kNever;
   std::atomic<bool> draining_{false};
   std::atomic<bool> handed_over_{false};
--- a/src/fake/memory_store.h
+++ b/src/fake/memory_store.h
@@ -104,9 +104,9 @@
       const bool knows_generation =
           is_new || member.generation == group.generation;
       if (group.members.front() == member.member && knows_generation) {
-        response.partitions.push_back({member.topic, 0});
+        response.partitions.push_back({member.topics.front(), 0});
       }
-      topics[member.group] = member.topic;
+      topics[member.group] = member.topics;
     }
     responses.push_back([done, response] { done(response); });
   }
@@ -129,9 +129,15 @@
       response.status = Status::kRefused;
     } else if (fault_mode == FaultMode::kNone) {
       response.status = Status::kOk;
-      uint32_t n = 0;
-      for (const auto& it : groups[group].members) {
-        response.owners.push_back({{topics[group], n++}, it});
+      // Each member has a partition while there are enough of them.
+      const auto& members = groups[group].members;
+      for (const auto& topic : topics[group]) {
+        for (uint32_t n = 0; n < kPartitionsPerTopic; ++n) {
+          if (response.owners.size() < members.size()) {
+            response.owners.push_back(
+                {{topic, n}, members[response.owners.size()]});
+          }
+        }
       }
     }
     responses.push_back([done, response] { done(response); });
@@ -174,6 +180,8 @@
     std::map<uint64_t, platform::AppendResponse> responses;
   };
 
+  static constexpr uint32_t kPartitionsPerTopic = 24;
+
   FaultMode fault_mode = FaultMode::kNone;
   int appends = 0;  ///< Append calls so far, failed ones included.
   /// Queued responses, in the order of the calls.
@@ -183,7 +191,7 @@
   /// Newest value of each key.
   std::map<platform::Partition, std::map<std::string, std::string>> compacted;
   std::map<std::string, Group> groups;
-  std::map<std::string, std::string> topics;  ///< By group.
+  std::map<std::string, std::vector<std::string>> topics;  ///< By group.
   std::map<std::pair<platform::Partition, std::string>, Producer> producers;
 
  private:
--- /dev/null
+++ b/src/fleet.cc
@@ -0,0 +1,76 @@
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <tuple>
+
+#include "fleet_func.h"
+#include "text_func.h"
+
+namespace bw {
+namespace {
+
+constexpr char kSeparator = '|';
+constexpr uint32_t kMinHandOverFactor = 2;
+
+/// @return True if `a` should own the cell rather than `b`.
+bool IsPreferredOwner(const FleetMember& a, const FleetMember& b) {
+  return std::tie(b.millicores, a.address) < std::tie(a.millicores, b.address);
+}
+
+}  // namespace
+
+std::string MakeMemberName(const FleetMember& member,
+                           const std::string& unique) {
+  return fmt::format("{}{}{}{}{}{}{}", member.instance, kSeparator,
+                     member.address, kSeparator, unique, kSeparator,
+                     member.millicores);
+}
+
+std::optional<FleetMember> ParseMemberName(const std::string& name) {
+  constexpr size_t kRequiredParts = 3;
+  const auto parts = SplitList(name, kSeparator);
+  if (parts.size() < kRequiredParts) {
+    return std::nullopt;
+  }
+  FleetMember out{parts[0], parts[1], 0};
+  if (parts.size() > kRequiredParts) {
+    const std::string& it = parts[kRequiredParts];
+    std::from_chars(it.data(), it.data() + it.size(), out.millicores);
+  }
+  return out;
+}
+
+std::vector<FleetMember> SortedByAddress(std::vector<FleetMember> members) {
+  std::ranges::sort(members, {}, &FleetMember::address);
+  const auto rest = std::ranges::unique(members, {}, &FleetMember::address);
+  members.erase(rest.begin(), rest.end());
+  return members;
+}
+
+uint32_t OwnerRank(std::span<const FleetMember> members,
+                   const FleetMember& self) {
+  return static_cast<uint32_t>(
+      std::ranges::count_if(members, [&](const FleetMember& it) {
+        return it.address != self.address && IsPreferredOwner(it, self);
+      }));
+}
+
+std::optional<FleetMember> FindSuccessor(std::span<const FleetMember> members,
+                                         const FleetMember& self) {
+  std::optional<FleetMember> out;
+  for (const auto& it : members) {
+    if (it.address != self.address && (!out || IsPreferredOwner(it, *out))) {
+      out = it;
+    }
+  }
+  return out;
+}
+
+bool IsWorthHandOver(const FleetMember& self, const FleetMember& other) {
+  return self.millicores > 0 &&
+         other.millicores >= kMinHandOverFactor * self.millicores;
+}
+
+}  // namespace bw
--- /dev/null
+++ b/src/fleet_func.h
@@ -0,0 +1,47 @@
+// Which instance of the fleet should own the cell. Pure functions over plain
+// values; thread-safe.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace bw {
+
+/// An instance as the other instances know it.
+struct FleetMember {
+  std::string instance;
+  std::string address;      ///< Mesh address.
+  uint32_t millicores = 0;  ///< Its share of a processor; 0: unknown.
+
+  auto operator<=>(const FleetMember&) const = default;
+};
+
+/// @return The name of a group member: "instance|address|unique|millicores".
+/// @param unique Distinguishes the member from former ones of the instance.
+std::string MakeMemberName(const FleetMember& member,
+                           const std::string& unique);
+/// Inverse of MakeMemberName().
+std::optional<FleetMember> ParseMemberName(const std::string& name);
+
+/// Sorts members by address and removes duplicates.
+std::vector<FleetMember> SortedByAddress(std::vector<FleetMember> members);
+
+/// @return The number of members that should own the cell rather than `self`:
+/// larger ones, and of equal ones those with a lower address.
+uint32_t OwnerRank(std::span<const FleetMember> members,
+                   const FleetMember& self);
+
+/// @return The member that should own the cell after `self`; nothing if there
+/// is no other.
+std::optional<FleetMember> FindSuccessor(std::span<const FleetMember> members,
+                                         const FleetMember& self);
+
+/// @return True if `other` is so much larger than the owner `self` that a
+/// hand-over is worth its interruption.
+bool IsWorthHandOver(const FleetMember& self, const FleetMember& other);
+
+}  // namespace bw
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -4,10 +4,8 @@
 #include <sodium.h>
 
 #include <algorithm>
-#include <optional>
 
 #include "event_log_func.h"
-#include "text_func.h"
 
 namespace bw {
 namespace {
@@ -15,7 +13,9 @@
 constexpr const char* kCellGroup = "bilberrywing-cell";
 constexpr const char* kCellTopic = "keyed.cell";
 constexpr const char* kFleetGroup = "bilberrywing-fleet";
-constexpr const char* kFleetTopic = "bilberrywing-fleet";
+/// A group lists only members with a partition, so the fleet group needs as
+/// many partitions as there may be instances.
+constexpr uint32_t kFleetTopics = 1;
 /// Ownership ends here this long before the store lets it expire.
 constexpr milliseconds kOwnershipMargin{250};
 constexpr uint32_t kMaxJoinsInFlight = 3;
@@ -24,27 +24,24 @@
 /// Interval between queries for the owner otherwise.
 constexpr milliseconds kOwnerQueryInterval{2000};
 constexpr milliseconds kMembersQueryInterval{2000};
-/// Upper limit of the random delay before a standby joins the cell group, so
-/// that usually only one standby joins.
-constexpr uint32_t kMaxJoinDelayMs = 700;
+/// A candidate waits this long for each instance that should own the cell
+/// rather than itself: the time in which one of them joins and is seen.
+constexpr milliseconds kJoinDelayPerRank{50};
+/// Limits of the random delay of a candidate that cannot read the fleet.
+constexpr uint32_t kMinJoinDelayMs = 300;
+constexpr uint32_t kMaxJoinDelayMs = 1000;
+/// Shortest time between gaining the cell and handing it over.
+constexpr milliseconds kMinOwnership{3000};
 constexpr milliseconds kFleetJoinInterval{1500};
 constexpr uint32_t kFleetTtlMs = 5000;
-constexpr char kSeparator = '|';
 
-/// The parsed name of a group member: "instance|address|incarnation.number".
-struct MemberName {
-  std::string instance;
-  std::string address;
-};
-
-std::optional<MemberName> ParseMember(const std::string& text) {
-  const auto parts = SplitList(text, kSeparator);
-  if (parts.size() < 3) {
-    return std::nullopt;
+std::vector<std::string> FleetTopics() {
+  std::vector<std::string> out;
+  for (uint32_t n = 0; n < kFleetTopics; ++n) {
+    out.push_back(fmt::format("bilberrywing-fleet-{}", n));
   }
-  return MemberName{parts[0], parts[1]};
+  return out;
 }
-
 }  // namespace
 
 const platform::Partition& CellPartition() {
@@ -55,22 +52,22 @@
 Membership::Membership(MembershipOptions options,
                        platform::Store* store,
                        EventLoop* core)
-    : options_(std::move(options)), store_(store), core_(core) {
-  members_ = {options_.address};
+    : options_(std::move(options)),
+      self_{options_.name, options_.address, options_.millicores},
+      store_(store),
+      core_(core) {
+  SetMembers({self_});
   fleet_member_ = NewMemberName();
   cell_member_ = NewMemberName();
 }
 
 std::string Membership::NewMemberName() {
-  return fmt::format("{}{}{}{}{}.{}", options_.name, kSeparator,
-                     options_.address, kSeparator, options_.incarnation,
-                     ++names_issued_);
+  return MakeMemberName(
+      self_, fmt::format("{}.{}", options_.incarnation, ++names_issued_));
 }
 
-void Membership::Start(std::function<void(uint64_t)> on_gain,
-                       std::function<void()> on_lose) {
-  on_gain_ = std::move(on_gain);
-  on_lose_ = std::move(on_lose);
+void Membership::Start(Events events) {
+  events_ = std::move(events);
 }
 
 void Membership::Tick(Time now) {
@@ -91,7 +88,7 @@
   if (!owner_query_in_flight_ && (join_due || now >= due)) {
     QueryOwner(now);
   }
-  if (owns_ && !members_query_in_flight_ &&
+  if ((owns_ || role_ == Role::kCandidate) && !members_query_in_flight_ &&
       now >= members_queried_at_ + kMembersQueryInterval) {
     QueryMembers(now);
   }
@@ -99,23 +96,27 @@
 
 void Membership::SendFleetJoin(Time now) {
   next_fleet_join_ = now + kFleetJoinInterval;
-  store_->Join(
-      {kFleetGroup, fleet_member_, kFleetTopic, kFleetTtlMs, fleet_generation_},
-      [this](const platform::JoinResponse& response) {
-        if (response.status == platform::StoreStatus::kOk) {
-          core_->Post([this, generation = response.generation] {
-            fleet_generation_ = std::max(fleet_generation_, generation);
-          });
-        }
-      });
+  store_->Join({kFleetGroup, fleet_member_, FleetTopics(), kFleetTtlMs,
+                fleet_generation_},
+               [this](const platform::JoinResponse& response) {
+                 if (response.status == platform::StoreStatus::kOk) {
+                   core_->Post([this, generation = response.generation] {
+                     fleet_generation_ =
+                         std::max(fleet_generation_, generation);
+                   });
+                 }
+               });
 }
 
 void Membership::SendCellJoin(Time now) {
   next_cell_join_ = now + options_.join_every;
   ++joins_in_flight_;
   store_->Join(
-      {kCellGroup, cell_member_, kCellTopic,
-       static_cast<uint32_t>(options_.ttl.count()), cell_generation_},
+      {kCellGroup,
+       cell_member_,
+       {kCellTopic},
+       static_cast<uint32_t>(options_.ttl.count()),
+       cell_generation_},
       [this, now, name = cell_member_](const platform::JoinResponse& response) {
         core_->PostBlocking([this, response, now, name] {
           if (name == cell_member_ && !left_) {
@@ -159,9 +160,10 @@
   reassigned_ = false;
   if (!owns_) {
     owns_ = true;
-    owner_address_ = options_.address;
+    owned_since_ = BootClock::now();
+    owner_address_ = self_.address;
     LogEvent(Part::kMember, "cell_gained", {{"generation", cell_generation_}});
-    on_gain_(cell_generation_);
+    events_.on_gain(cell_generation_);
   }
 }
 
@@ -170,13 +172,17 @@
   recheck_owner_ = true;
   LogEvent(Part::kMember, "cell_lost",
            {{"generation", cell_generation_}, {"why", why}});
-  on_lose_();
+  events_.on_lose();
 }
 
-/// Leaves the cell group. Later joins use a new member name, since joins under
-/// the present one may still be in flight.
 void Membership::LeaveCellGroup() {
   store_->Leave(kCellGroup, cell_member_, [](platform::StoreStatus) {});
+  ForgetCellGroup();
+}
+
+/// Ends the membership in the cell group. Later joins use a new member name,
+/// since joins under the present one may still be in flight.
+void Membership::ForgetCellGroup() {
   cell_member_ = NewMemberName();
   joins_in_flight_ = 0;
   cell_generation_ = 0;
@@ -194,6 +200,44 @@
   }
 }
 
+void Membership::JoinCellGroup(Time now) {
+  role_ = Role::kJoined;
+  LogEvent(
+      Part::kMember, "cell_wanted",
+      {{"rank", OwnerRank(members_, self_)}, {"members", members_.size()}});
+  SendCellJoin(now);
+}
+
+void Membership::HandOverToLarger(Time now) {
+  const auto successor = FindSuccessor(members_, self_);
+  if (!owns_ || now - owned_since_ < kMinOwnership || !successor ||
+      !IsWorthHandOver(self_, *successor)) {
+    return;
+  }
+  LoseCell("handed over to a larger instance");
+  store_->Leave(kCellGroup, cell_member_,
+                [offer = events_.offer, to = successor->address](
+                    platform::StoreStatus) { offer(to); });
+  ForgetCellGroup();
+}
+
+void Membership::AcceptOffer() {
+  if (left_ || role_ == Role::kJoined) {
+    return;
+  }
+  const Time now = BootClock::now();
+  BecomeCandidate(now, now);
+  if (!owner_query_in_flight_) {
+    QueryOwner(now);
+  }
+}
+
+void Membership::BecomeCandidate(Time now, Time join_at) {
+  role_ = Role::kCandidate;
+  candidate_since_ = now;
+  candidate_join_at_ = join_at;
+}
+
 void Membership::RecheckOwner() {
   recheck_owner_ = true;
 }
@@ -215,7 +259,7 @@
   std::string owner;
   bool former_self = false;
   for (const auto& it : response.owners) {
-    const auto member = ParseMember(it.member);
+    const auto member = ParseMemberName(it.member);
     if (!member || it.partition != CellPartition()) {
       continue;
     }
@@ -236,7 +280,7 @@
   recheck_owner_ = owner.empty();
   const Time now = BootClock::now();
   if (role_ == Role::kJoined && owns_ && now - renewed_at_ > options_.ttl) {
-    if (owner.empty() || owner == options_.address) {
+    if (owner.empty() || owner == self_.address) {
       SendCellJoin(now);
     } else {
       Resign();
@@ -249,14 +293,15 @@
   if (!owner.empty() || former_self) {
     role_ = Role::kStandby;
   } else if (role_ == Role::kStandby) {
-    role_ = Role::kCandidate;
-    candidate_join_at_ =
-        now + milliseconds(randombytes_uniform(kMaxJoinDelayMs));
+    BecomeCandidate(
+        now, now + milliseconds(
+                       kMinJoinDelayMs +
+                       randombytes_uniform(kMaxJoinDelayMs - kMinJoinDelayMs)));
+    if (!members_query_in_flight_) {
+      QueryMembers(now);
+    }
   } else if (now >= candidate_join_at_) {
-    role_ = Role::kJoined;
-    next_cell_join_ = now;
-    LogEvent(Part::kMember, "cell_wanted", {});
-    SendCellJoin(now);
+    JoinCellGroup(now);
   }
 }
 
@@ -274,29 +319,47 @@
   if (response.status != platform::StoreStatus::kOk) {
     return;
   }
-  std::vector<std::string> members;
+  std::vector<FleetMember> members = {self_};
   for (const auto& it : response.owners) {
-    if (const auto member = ParseMember(it.member)) {
-      members.push_back(member->address);
+    if (auto member = ParseMemberName(it.member)) {
+      members.push_back(std::move(*member));
     }
   }
-  std::sort(members.begin(), members.end());
-  members.erase(std::unique(members.begin(), members.end()), members.end());
+  SetMembers(SortedByAddress(std::move(members)));
+  if (role_ == Role::kCandidate) {
+    candidate_join_at_ =
+        candidate_since_ + OwnerRank(members_, self_) * kJoinDelayPerRank;
+  }
+}
+
+void Membership::SetMembers(std::vector<FleetMember> members) {
   if (members.size() != members_.size()) {
     LogEvent(Part::kMember, "members_known", {{"members", members.size()}});
   }
   members_ = std::move(members);
+  addresses_.clear();
+  for (const auto& it : members_) {
+    addresses_.push_back(it.address);
+  }
 }
 
 void Membership::Leave(std::function<void()> done) {
   left_ = true;
   role_ = Role::kStandby;
+  std::optional<FleetMember> successor;
   if (owns_) {
+    successor = FindSuccessor(members_, self_);
     LoseCell("shutdown");
   }
   store_->Leave(kFleetGroup, fleet_member_, [](platform::StoreStatus) {});
   store_->Leave(kCellGroup, cell_member_,
-                [done = std::move(done)](platform::StoreStatus) { done(); });
+                [offer = events_.offer, successor = std::move(successor),
+                 done = std::move(done)](platform::StoreStatus) {
+                  if (successor) {
+                    offer(successor->address);
+                  }
+                  done();
+                });
 }
 
 }  // namespace bw
--- a/src/membership_base.h
+++ b/src/membership_base.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "event_loop_base.h"
+#include "fleet_func.h"
 #include "platform/store.h"
 
 namespace bw {
@@ -15,6 +16,7 @@
 struct MembershipOptions {
   std::string name;              ///< Name of this instance.
   std::string address;           ///< Mesh address of this instance.
+  uint32_t millicores = 0;       ///< Its share of a processor; 0: unknown.
   uint64_t incarnation = 0;      ///< Differs for each start of the process.
   milliseconds ttl{2000};        ///< Lifetime of the ownership after a renewal.
   milliseconds join_every{400};  ///< Interval between renewals.
@@ -26,9 +28,10 @@
 /// Keeps this instance in the fleet group, which lists all instances, and
 /// competes for the cell group, whose only member owns the cell. A group
 /// reassigns its partitions whenever a member joins or leaves, so a standby
-/// joins the cell group only when it is empty. The lifetime of an ownership is
-/// counted from the time at which its renewal was sent. Belongs to the core
-/// thread, except where said otherwise.
+/// joins the cell group only when it is empty, the largest instance first. An
+/// owner hands the cell over to a much larger instance. The lifetime of an
+/// ownership is counted from the time at which its renewal was sent. Belongs to
+/// the core thread, except where said otherwise.
 class Membership {
  public:
   /// @pre All outlive the membership.
@@ -36,16 +39,27 @@
              platform::Store* store,
              EventLoop* core);
 
-  /// @param on_gain Runs with the group's generation when the cell is assigned
-  /// to this process. @param on_lose Runs when this process stops owning it.
-  void Start(std::function<void(uint64_t)> on_gain,
-             std::function<void()> on_lose);
+  struct Events {
+    /// Runs with the group's generation when the cell is assigned to this
+    /// process.
+    std::function<void(uint64_t)> on_gain;
+    std::function<void()> on_lose;  ///< Runs when this process stops owning it.
+    /// Offers the cell, which this process has left, to the instance with this
+    /// mesh address. Thread-safe.
+    std::function<void(const std::string&)> offer;
+  };
+  void Start(Events events);
   void Tick(Time now);
   /// Leaves both groups. @param done Runs on another thread once the store has
   /// replied.
   void Leave(std::function<void()> done);
   /// Gives up the cell after another owner was detected.
   void Resign();
+  /// Hands the cell over to a much larger instance, if there is one.
+  /// @pre Nothing is waiting to be stored.
+  void HandOverToLarger(Time now);
+  /// Takes the cell if it has no owner.
+  void AcceptOffer();
 
   /// @return True while no other process can own the cell. Thread-safe.
   bool MayAct() const {
@@ -64,18 +78,18 @@
   /// @return Mesh address of the owner; empty if none is known.
   const std::string& OwnerAddress() const { return owner_address_; }
   /// @return Mesh addresses of all known instances.
-  const std::vector<std::string>& Members() const { return members_; }
+  const std::vector<std::string>& Members() const { return addresses_; }
   /// Queries the store for the owner soon, as the known one did not respond or
   /// is no longer the owner.
   void RecheckOwner();
   bool IsSelf(const std::string& address) const {
-    return address == options_.address;
+    return address == self_.address;
   }
 
  private:
   enum class Role : uint8_t {
     kStandby,    ///< Not a member of the cell group.
-    kCandidate,  ///< Joins after a random delay unless an owner appears.
+    kCandidate,  ///< Joins after a delay unless an owner appears.
     kJoined,     ///< Member of the cell group.
   };
 
@@ -88,13 +102,17 @@
   void OnMembersReply(const platform::OwnersResponse& response);
   void LoseCell(const char* why);
   void LeaveCellGroup();
+  void ForgetCellGroup();
+  void JoinCellGroup(Time now);
+  void BecomeCandidate(Time now, Time join_at);
+  void SetMembers(std::vector<FleetMember> members);
   std::string NewMemberName();
 
   const MembershipOptions options_;
+  const FleetMember self_;
   platform::Store* const store_;
   EventLoop* const core_;
-  std::function<void(uint64_t)> on_gain_;
-  std::function<void()> on_lose_;
+  Events events_;
   Role role_ = Role::kStandby;
   std::string cell_member_;   ///< Name in the cell group; new after each leave.
   std::string fleet_member_;  ///< Name in the fleet group.
@@ -103,7 +121,9 @@
   uint64_t fleet_generation_ = 0;
   uint32_t joins_in_flight_ = 0;
   Time next_cell_join_ = kNever;
+  Time candidate_since_ = kNever;
   Time candidate_join_at_ = kNever;
+  Time owned_since_ = kNever;
   Time renewed_at_ = kNever;  ///< When the newest renewal was sent.
   Time next_fleet_join_ = kNever;
   Time owner_queried_at_ = kNever;
@@ -116,7 +136,8 @@
   std::atomic<bool> owns_{false};
   std::atomic<uint64_t> ownership_end_us_{0};
   std::string owner_address_;
-  std::vector<std::string> members_;
+  std::vector<FleetMember> members_;
+  std::vector<std::string> addresses_;  ///< Of `members_`.
 };
 
 }  // namespace bw
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -248,7 +248,7 @@
   void Join(const Json& body, const net::Responder& respond) {
     const platform::GroupMember member{
         body.value("group", ""), body.value("member", ""),
-        body.value("topics", Json::array()).at(0).get<std::string>(),
+        body.value("topics", Json::array()).get<std::vector<std::string>>(),
         body.value("ttlMs", 0U), body.value("generation", uint64_t{0})};
     store_.Join(member, [&](const platform::JoinResponse& it) {
       Json parts = Json::array();
--- a/src/platform/store.cc
+++ b/src/platform/store.cc
@@ -227,7 +227,7 @@
     Post("log-join",
          json{{"group", member.group},
               {"member", member.member},
-              {"topics", {member.topic}},
+              {"topics", member.topics},
               {"ttlMs", member.ttl_ms},
               {"generation", member.generation}},
          [done = std::move(done)](const net::HttpResult& result) {
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -87,7 +87,7 @@
 struct GroupMember {
   std::string group;
   std::string member;
-  std::string topic;
+  std::vector<std::string> topics;  ///< Whose partitions the group assigns.
   uint32_t ttl_ms = 0;      ///< The membership expires this long after a join.
   uint64_t generation = 0;  ///< Last generation received; 0 before the first.
 };
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -22,7 +22,9 @@
 /// only during RunFor().
 class Member {
  public:
-  Member(fake::MemoryStore* store, const std::string& name)
+  Member(fake::MemoryStore* store,
+         const std::string& name,
+         uint32_t millicores = 0)
       : store_(store),
         loop_(
             milliseconds(5),
@@ -31,17 +33,22 @@
               if (running) {
                 membership->Tick(BootClock::now());
               }
+              if (hand_over) {
+                membership->HandOverToLarger(BootClock::now());
+              }
             },
             [] {}) {
     MembershipOptions options;
     options.name = name;
     options.address = name + ":1";
     options.incarnation = 1;
+    options.millicores = millicores;
     options.ttl = milliseconds(600);
     options.join_every = milliseconds(50);
     membership = std::make_unique<Membership>(options, store, &loop_);
-    membership->Start([this](uint64_t it) { gained = it; },
-                      [this] { ++losses; });
+    membership->Start({[this](uint64_t it) { gained = it; },
+                       [this] { ++losses; },
+                       [this](const std::string& to) { offered_to = to; }});
   }
 
   /// Runs for `ms` milliseconds, while the store responds every 5 ms.
@@ -57,12 +64,17 @@
     std::this_thread::sleep_for(milliseconds(10));
   }
 
+  void Accept() {
+    loop_.Post([this] { membership->AcceptOffer(); });
+  }
   void Stop() { loop_.Stop(); }
 
   std::unique_ptr<Membership> membership;
+  std::string offered_to;  ///< Written by the core thread.
   std::atomic<uint64_t> gained{0};
   std::atomic<int> losses{0};
   std::atomic<bool> running{true};
+  std::atomic<bool> hand_over{false};  ///< Nothing waits to be stored.
 
  private:
   fake::MemoryStore* const store_;
@@ -90,7 +102,7 @@
   fake::MemoryStore store;
   store.groups[kGroup].members = {"b|b:1|1"};
   store.groups[kGroup].generation = 1;
-  store.topics[kGroup] = "keyed.cell";
+  store.topics[kGroup] = {"keyed.cell"};
   Member it(&store, "a");
   it.RunFor(1200);
   CHECK_EQUAL(1U, store.groups[kGroup].members.size());
@@ -168,6 +180,95 @@
   it.Stop();
 }
 
+// Three of four instances of a deployment have a quarter of the processor share
+// of the others. One of those owned the cell and could not keep up.
+TEST(Membership, LargerInstanceIsFirstToJoin) {
+  fake::MemoryStore store;
+  auto& fleet = store.groups["bilberrywing-fleet"].members;
+  for (int n = 0; n < 22; ++n) {
+    const std::string name = "b" + std::to_string(n);
+    fleet.push_back(name + "|" + name + ":1|1.1|500");
+  }
+  Member small(&store, "a", 120);
+  small.RunFor(900);
+  CHECK_EQUAL(0U, small.gained);
+  small.RunFor(900);  // None of the larger ones is alive.
+  CHECK(small.gained > 0);
+  small.Stop();
+  store.groups[kGroup].members.clear();
+  Member large(&store, "a", 1000);
+  large.RunFor(150);
+  CHECK(large.gained > 0);
+  large.Stop();
+}
+
+// At a cold start a small instance may own the cell before a larger one runs.
+TEST(Membership, CellIsHandedOverToAMuchLargerInstance) {
+  fake::MemoryStore store;
+  Member small(&store, "a", 120);
+  small.RunFor(1200);
+  CHECK(small.membership->MayAct());
+  store.groups["bilberrywing-fleet"].members.emplace_back("b|b:1|1.1|500");
+  small.hand_over = true;
+  for (int n = 0; n < 110 && small.losses == 0; ++n) {
+    small.RunFor(50);
+  }
+  small.RunFor(100);
+  CHECK_EQUAL(1, small.losses);
+  STRCMP_EQUAL("b:1", small.offered_to.c_str());
+  CHECK(!small.membership->MayAct());
+  small.Stop();
+}
+
+TEST(Membership, CellIsNotHandedOverToASlightlyLargerInstance) {
+  fake::MemoryStore store;
+  Member small(&store, "a", 300);
+  small.RunFor(1200);
+  store.groups["bilberrywing-fleet"].members.emplace_back("b|b:1|1.1|500");
+  small.hand_over = true;
+  small.RunFor(5500);
+  CHECK_EQUAL(0, small.losses);
+  small.Stop();
+}
+
+TEST(Membership, OfferedCellIsTakenUnlessItHasAnOwner) {
+  fake::MemoryStore store;
+  store.groups[kGroup].members = {"b|b:1|1"};
+  store.groups[kGroup].generation = 1;
+  store.topics[kGroup] = {"keyed.cell"};
+  Member it(&store, "a", 500);
+  it.RunFor(300);
+  it.Accept();
+  it.RunFor(100);
+  CHECK_EQUAL(0U, it.gained);
+  CHECK_EQUAL(1U, store.groups[kGroup].members.size());
+  store.Expire(kGroup, "b|b:1|1");
+  it.Accept();
+  it.RunFor(60);
+  CHECK(it.gained > 0);
+  it.Stop();
+}
+
+TEST_GROUP(Fleet){};
+
+TEST(Fleet, NameOfAMemberIsReadBack) {
+  const FleetMember member{"front-a-1", "10.0.0.1:7400", 500};
+  CHECK(member == *ParseMemberName(MakeMemberName(member, "17.1")));
+  CHECK_EQUAL(0U, ParseMemberName("a|b:1|1")->millicores);
+  CHECK(!ParseMemberName("a|b:1"));
+}
+
+TEST(Fleet, LargerInstancesRankFirstAndEqualOnesByAddress) {
+  const std::vector<FleetMember> members = {
+      {"a", "a:1", 120}, {"b", "b:1", 500}, {"c", "c:1", 500}};
+  CHECK_EQUAL(0U, OwnerRank(members, members[1]));
+  CHECK_EQUAL(1U, OwnerRank(members, members[2]));
+  CHECK_EQUAL(2U, OwnerRank(members, members[0]));
+  CHECK(members[1] == *FindSuccessor(members, members[2]));
+  CHECK(members[2] == *FindSuccessor(members, members[1]));
+  CHECK(!FindSuccessor(std::vector{members[0]}, members[0]));
+}
+
 TEST_GROUP(RecordLog){};
 
 namespace {
