Fix: [Membership] Only 24 instances were known

Callers saw: jobs of advised queues wait, as a quarter to two fifths of the instances never ask the advice service, which takes one call at a time from each.

Cause: the store lists a group's members by partition, and a topic has 24 here, so an instance without a partition was not listed. Class: a limit of the platform (partitions of a topic) taken for unlimited.

Change: the fleet group has eight topics, room for 192 instances.

Evidence: Membership.KnowsMoreInstancesThanATopicHasPartitions failed with one topic.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -15,7 +15,7 @@
 constexpr const char* kFleetGroup = "bilberrywing-fleet";
 /// A group lists only members with a partition, so the fleet group needs as
 /// many partitions as there may be instances.
-constexpr uint32_t kFleetTopics = 1;
+constexpr uint32_t kFleetTopics = 8;
 /// Ownership ends here this long before the store lets it expire.
 constexpr milliseconds kOwnershipMargin{250};
 constexpr uint32_t kMaxJoinsInFlight = 3;
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -249,6 +249,24 @@
   it.Stop();
 }
 
+// 39 instances share the work of asking the advice service, but a group lists
+// only members with a partition, and a topic has 24.
+TEST(Membership, KnowsMoreInstancesThanATopicHasPartitions) {
+  constexpr size_t kInstances = 39;
+  fake::MemoryStore store;
+  for (size_t n = 1; n < kInstances; ++n) {
+    const std::string name = "i" + std::to_string(n);
+    store.groups["bilberrywing-fleet"].members.push_back(name + "|" + name +
+                                                         ":1|1.1|120");
+  }
+  Member it(&store, "a", 500);
+  it.RunFor(1200);
+  CHECK(it.gained > 0);
+  it.RunFor(2500);
+  CHECK_EQUAL(kInstances, it.membership->Members().size());
+  it.Stop();
+}
+
 TEST_GROUP(Fleet){};
 
 TEST(Fleet, NameOfAMemberIsReadBack) {
