--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -210,10 +210,10 @@
   CHECK(small.membership->MayAct());
   store.groups["bilberrywing-fleet"].members.emplace_back("b|b:1|1.1|500");
   small.hand_over = true;
-  for (int n = 0; n < 110 && small.losses == 0; ++n) {
-    small.RunFor(50);
+  for (int n = 0; n < 300 && small.losses == 0; ++n) {
+    small.RunFor(20);
   }
-  small.RunFor(100);
+  small.RunFor(20);
   CHECK_EQUAL(1, small.losses);
   STRCMP_EQUAL("b:1", small.offered_to.c_str());
   CHECK(!small.membership->MayAct());
