Fix: [Cell] A submission counted all waiting steps

Callers saw: slower answers the longer the backlog.

Cause: each submission looked up the job of every waiting step to count the rate-limited ones. Class: work per event that is proportional to the cell.

Change: the waiting steps are a class that keeps the count. Jobs are in a hash table, as every event looks some up.

--- a/bench/bw_bench.cc
+++ b/bench/bw_bench.cc
@@ -13,6 +13,8 @@
 //                                   memory
 //   bw_bench latency GATE RUNNER    latency that the gate adds to direct calls
 
+#include <CppUTest/TestHarness.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <malloc.h>
 
 #include <algorithm>
@@ -23,6 +25,7 @@
 #include "../src/fit_func.h"
 #include "../src/job_board_base.h"
 #include "../src/load_func.h"
+#include "../src/log_func.h"
 #include "../src/net/http_client.h"
 #include "../src/order_func.h"
 #include "../src/place_func.h"
@@ -451,5 +454,8 @@
 }  // namespace bw
 
 int main(int argc, const char** argv) {
+  // Linked with the test support; its leak check would be measured too.
+  MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+  bw::SetUpLog("error");
   bw::RunMain(bw::Main, argc, argv);
 }
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -162,7 +162,7 @@
   job.arrival = ++last_arrival_;
   job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
   job.rate_limited = IsRateLimited(id, team, now);
-  if (ShouldRejectJob(job.rate_limited, CountRateLimitedWaiting())) {
+  if (ShouldRejectJob(job.rate_limited, ready_.rate_limited())) {
     LogEvent(Part::kPlacer, "job_refused",
              {{"job", id.value},
               {"team", team.value},
@@ -298,7 +298,7 @@
       steps[n].ready = true;
       steps[n].waiting_since = now;
       if (steps[n].done < steps[n].tasks.size()) {
-        ready_.insert({job->id, occurrence, n});
+        ready_.Insert({job->id, occurrence, n}, job->rate_limited);
       }
     }
   }
@@ -406,7 +406,7 @@
 void Cell::StopJobRuns(Job* job, Time now) {
   for (auto& occurrence : job->occurrences) {
     for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
-      ready_.erase({job->id, occurrence.first, n});
+      ready_.Erase({job->id, occurrence.first, n});
     }
   }
   const TaskRef first{job->id, 0, 0, 0};
@@ -437,15 +437,6 @@
   return over;
 }
 
-size_t Cell::CountRateLimitedWaiting() const {
-  size_t out = 0;
-  for (const auto& it : ready_) {
-    auto job = jobs_.find(it.job);
-    out += job != jobs_.end() && job->second.rate_limited ? 1 : 0;
-  }
-  return out;
-}
-
 uint64_t Cell::CountWaiting(const QueueId& queue) const {
   uint64_t out = 0;
   for (const auto& it : jobs_) {
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -17,6 +17,7 @@
 #include "order_func.h"
 #include "platform/advice.h"
 #include "platform/backend.h"
+#include "ready_steps_base.h"
 #include "speed_base.h"
 
 namespace bw {
@@ -323,7 +324,6 @@
   void OpenJob(Job* job, Time now);
   void RefuseUnstoredJobs(Time now);
   void RemoveRuns(const JobId& id);
-  size_t CountRateLimitedWaiting() const;
   bool IsRateLimited(const JobId& id, const TeamId& team, Time now);
   void OnEndStored(const JobId& id, const EndedJob& ended);
   CellOutcome Refuse(CellStatus status, const char* reason) const;
@@ -451,11 +451,11 @@
   const CellOptions options_;
   CellPort* const port_;
   std::shared_ptr<const CellConfig> config_;
-  std::map<JobId, Job> jobs_;
+  std::unordered_map<JobId, Job> jobs_;
   std::map<JobId, EndedJob> ended_;
   std::map<JobId, std::string> loaded_progress_;
   std::map<BackendId, Server> servers_;
-  std::set<StepRef> ready_;  ///< Steps with waiting tasks.
+  ReadySteps ready_;  ///< Steps with waiting tasks.
   std::set<JobId> changed_jobs_;
   std::vector<UnsentStart>
       unsent_starts_;  ///< Starts whose record is not stored yet.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -82,12 +82,13 @@
   std::vector<RankedStep> order;
   for (auto it = ready_.begin(); it != ready_.end();) {
     Job* job = nullptr;
-    Step* step = FindStep(*it, &job);
+    Step* step = FindStep(it->first, &job);
     if (step == nullptr || job->state != JobState::kActive) {
-      it = ready_.erase(it);
+      it = ready_.Erase(it);
       continue;
     }
-    order.push_back({RankOf(*job, *it, *step, now), &*it, step->examined_at});
+    order.push_back(
+        {RankOf(*job, it->first, *step, now), &it->first, step->examined_at});
     ++it;
   }
   std::sort(order.begin(), order.end(),
@@ -188,7 +189,7 @@
   uint32_t maybe_running = 0;
   const auto waiting = WaitingTasks(*step, &maybe_running);
   if (waiting.empty() && maybe_running == 0) {
-    ready_.erase(ref);
+    ready_.Erase(ref);
     return true;
   }
   if (waiting.empty() || (spec.gang && step->live + maybe_running > 0)) {
@@ -217,7 +218,7 @@
   const uint32_t placed = StartFitting(pass, job, ref, step, waiting, need);
   if (placed == waiting.size()) {
     if (maybe_running == 0) {
-      ready_.erase(ref);
+      ready_.Erase(ref);
     }
     return true;
   }
@@ -349,7 +350,7 @@
   constexpr milliseconds kLongWait{3000};
   constexpr uint32_t kMaxLines = 5;
   uint32_t lines = 0;
-  for (const auto& ref : ready_) {
+  for (const auto& [ref, entry] : ready_) {
     auto job = jobs_.find(ref.job);
     if (job == jobs_.end()) {
       continue;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -338,7 +338,7 @@
       for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
         const Step& step = occurrence.second.steps[n];
         if (step.done == step.tasks.size()) {
-          ready_.erase({it.first, occurrence.first, n});
+          ready_.Erase({it.first, occurrence.first, n});
         }
       }
       UpdateReady(job, occurrence.first, now);
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -182,7 +182,7 @@
   if (step.done < step.tasks.size()) {
     return;
   }
-  ready_.erase({job->id, ref.occurrence, ref.step});
+  ready_.Erase({job->id, ref.occurrence, ref.step});
   ++occurrence.steps_done;
   UpdateReady(job, ref.occurrence, now);
   if (occurrence.steps_done < occurrence.steps.size()) {
@@ -267,7 +267,7 @@
   if (spec.gang) {
     TearDownGang(job, ref, now);
   } else {
-    ready_.insert({ref.job, ref.occurrence, ref.step});
+    ready_.Insert({ref.job, ref.occurrence, ref.step}, job->rate_limited);
   }
 }
 
@@ -289,7 +289,8 @@
   Step& step = job->occurrences.at(member.occurrence).steps[member.step];
   if (step.live == 0) {
     step.tearing_down = false;
-    ready_.insert({member.job, member.occurrence, member.step});
+    ready_.Insert({member.job, member.occurrence, member.step},
+                  job->rate_limited);
     return;
   }
   if (step.tearing_down) {
--- a/test/cell_cost_test.cc
+++ b/test/cell_cost_test.cc
@@ -33,6 +33,8 @@
   constexpr int kServers = 4;
   constexpr int kCores = 8;
   auto out = std::make_unique<CellHarness>(kServers);
+  constexpr double kNoRateLimit = 1e6;
+  out->config->accounts.front().weight = kNoRateLimit;
   out->Submit("ffffffffffffffff", CellHarness::Tasks(kServers * kCores, 1000));
   out->Advance(200);
   for (int n = 0; n < jobs; ++n) {
