Fix: [Cell] A pass searched all servers for steps for which nothing could change

Callers saw: short jobs late as soon as the cell was loaded: with 0.5 cores 7 to 12 passes in a second of 30 ms each, where 5 ms were meant to lie between two.

Cause: for each waiting step a pass built a candidate for each server, looked up ticket and refusal of each by name, and chose servers for a query, although the step's query was under way, no instance was free to ask, or nothing had changed since the last pass. Class: work per event that is proportional to the cell.

Change: steps that can neither start, ask nor reserve are passed over; a queue that found all instances busy does not ask again in that pass; a step that needs no query is looked at again after 100 ms. Tickets and refusals are marked once, not searched for each server; services are compared by number, speeds every 200 ms.

--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -12,42 +12,75 @@
 
 /// Minimum time between two queries about one step.
 constexpr milliseconds kMinQueryInterval{30};
+/// Time after which a step that needed no query is looked at again.
+constexpr milliseconds kRecheckInterval{100};
 /// Initial estimate of the share of servers that are admitted for a step.
 constexpr double kInitialAdmittedShare = 0.5;
 constexpr double kAdmittedShareWeight = 0.1;  ///< Of the latest response.
 
 }  // namespace
 
+bool Cell::MayQueryAdvice(const Pass& pass,
+                          const Job& job,
+                          const Step& step,
+                          bool urgent) {
+  const auto& busy = pass.busy_queues[urgent ? 1 : 0];
+  return !step.advice.query_in_flight &&
+         step.advice.next_query_at <= pass.now &&
+         std::find(busy.begin(), busy.end(), job.queue) == busy.end();
+}
+
+/// @return What the advice service said about each server of the pass.
+std::vector<Cell::Known> Cell::KnownServers(const Pass& pass,
+                                            const AdviceState& advice,
+                                            Time renew_at) const {
+  std::vector<Known> out(pass.servers.size(), Known::kUnknown);
+  const auto set = [&](const BackendId& id, Known known) {
+    const auto server = servers_.find(id);
+    if (server != servers_.end() && server->second.pass_index != kNoServer) {
+      out[server->second.pass_index] = known;
+    }
+  };
+  for (const auto& it : advice.admitted) {
+    set(it.first,
+        it.second.until > renew_at ? Known::kValidTicket : Known::kAdmitted);
+  }
+  for (const auto& it : advice.rejected) {
+    set(it, Known::kRejected);
+  }
+  return out;
+}
+
 void Cell::QueryAdvice(Pass* pass,
                        Job* job,
                        const StepRef& ref,
                        Step* step,
                        const StepNeed& need,
                        bool urgent) {
-  AdviceState& advice = step->advice;
-  const AdvicePolicy& policy = *job->policy.advice;
-  if (advice.query_in_flight || advice.next_query_at > pass->now) {
+  if (!MayQueryAdvice(*pass, *job, *step, urgent)) {
+    step->wait_reason =
+        step->advice.query_in_flight ? "advice" : "advice service busy";
     return;
   }
+  AdviceState& advice = step->advice;
+  const AdvicePolicy& policy = *job->policy.advice;
   const auto ahead = std::chrono::duration<double, std::milli>(
       IsSlow(policy) ? policy.query_ms : 0);
   const Time renew_at =
       pass->now + kTicketMargin + std::chrono::duration_cast<Duration>(ahead);
+  const auto known = KnownServers(*pass, advice, renew_at);
   std::vector<AdviceCandidate> candidates;
-  std::vector<BackendId> ids;
+  std::vector<uint32_t> indices;
   for (uint32_t n = 0; n < pass->candidates.size(); ++n) {
     const ServerCandidate& server = pass->candidates[n];
-    const BackendId& id = pass->servers[n]->entry.id;
-    if (!MayUse(server, need) || advice.rejected.contains(id)) {
+    if (!MayUse(server, need) || known[n] == Known::kRejected) {
       continue;
     }
-    const auto ticket = advice.admitted.find(id);
-    const bool known = ticket != advice.admitted.end();
-    candidates.push_back({SlotsIn(server, server.free, need),
-                          SlotsIn(server, server.total, need),
-                          server.free.millicores,
-                          known && ticket->second.until > renew_at, known});
-    ids.push_back(id);
+    candidates.push_back(
+        {SlotsIn(server, server.free, need),
+         SlotsIn(server, server.total, need), server.free.millicores,
+         known[n] == Known::kValidTicket, known[n] != Known::kUnknown});
+    indices.push_back(n);
   }
   const double share =
       admitted_share_.try_emplace(job->queue, kInitialAdmittedShare)
@@ -57,11 +90,12 @@
   if (choice.servers.empty()) {
     step->wait_reason = choice.enough ? "room on admitted servers"
                                       : "no further server to query about";
+    advice.next_query_at = pass->now + kRecheckInterval;
     return;
   }
   std::vector<BackendId> names;
   for (uint32_t n : choice.servers) {
-    names.push_back(ids[n]);
+    names.push_back(pass->servers[indices[n]]->entry.id);
   }
   advice.query_in_flight = true;  // The response may arrive within the call.
   advice.queried_at = pass->now;
@@ -70,6 +104,7 @@
     counters_.advice_query_ms += static_cast<uint64_t>(choice.expected.count());
   } else {
     advice.query_in_flight = false;
+    pass->busy_queues[urgent ? 1 : 0].push_back(job->queue);
     ++counters_.advice_busy;
   }
   step->wait_reason = advice.query_in_flight ? "advice" : "advice service busy";
@@ -148,7 +183,7 @@
       auto& steps = occurrence.second.steps;
       for (uint32_t n = 0; n < steps.size(); ++n) {
         Step& step = steps[n];
-        if (step.ready || step.advice.query_in_flight) {
+        if (step.ready || !MayQueryAdvice(pass, job, step, true)) {
           continue;
         }
         const auto& depends_on = job.spec.steps[n].depends_on;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cell_type.h"
@@ -232,6 +233,7 @@
     Time suspect_until = kNever;  ///< Gets no work before; it did not respond.
     uint32_t strikes = 0;         ///< Consecutive failures.
     uint32_t rack = 0;            ///< Number of its rack.
+    uint32_t service = 0;         ///< Number of its service.
     uint32_t pass_index = 0xffffffff;  ///< Index in the current pass.
     Time avoid_until = kNever;  ///< Gets no work before; it failed tasks.
     bool slow = false;          ///< Several times slower than others.
@@ -256,8 +258,10 @@
     bool query_in_flight = false;
     Time queried_at = kNever;
     Time next_query_at = kNever;
-    std::map<BackendId, TicketInfo> admitted;  ///< Servers with a ticket.
-    std::set<BackendId> rejected;  ///< Servers that the service refused.
+    /// Servers with a ticket.
+    std::unordered_map<BackendId, TicketInfo> admitted;
+    /// Servers that the service refused.
+    std::unordered_set<BackendId> rejected;
   };
   struct Step {
     std::vector<Task> tasks;
@@ -330,6 +334,7 @@
 
   // cell_server.cc: backend servers; cell_run.cc: runs.
   uint32_t RackNumber(const std::string& rack);
+  uint32_t ServiceNumber(const std::string& service);
   void OnNewIncarnation(Server* server, Time now);
   void StoreServerRecord(Server* server);
   void DropServerIfIdle(const BackendId& id);
@@ -385,9 +390,35 @@
                      const Step& step,
                      Time now) const;
   void OpenPass(Pass* pass);
+  void CheckSpeed(Server* server, Time now);
   static std::vector<uint32_t> WaitingTasks(const Step& step,
                                             uint32_t* maybe_running);
-  bool PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
+  /// What a pass did with a waiting step.
+  enum class PlaceResult : uint8_t {
+    kPlaced,    ///< No task of it waits any more.
+    kUnplaced,  ///< Some tasks did not fit.
+    kSkipped,   ///< Nothing could change for it, so it was not examined.
+  };
+  PlaceResult PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
+  bool MayChange(const Pass& pass,
+                 const Job& job,
+                 const Step& step,
+                 const StepNeed& need,
+                 bool urgent) const;
+  /// What the advice service said about a server.
+  enum class Known : uint8_t {
+    kUnknown,
+    kRejected,
+    kAdmitted,  ///< Its ticket has expired or soon will.
+    kValidTicket,
+  };
+  std::vector<Known> KnownServers(const Pass& pass,
+                                  const AdviceState& advice,
+                                  Time renew_at) const;
+  static bool MayQueryAdvice(const Pass& pass,
+                             const Job& job,
+                             const Step& step,
+                             bool urgent);
   uint32_t StartFitting(Pass* pass,
                         Job* job,
                         const StepRef& ref,
@@ -429,10 +460,10 @@
                       const Job& job,
                       const StepRef& ref,
                       const Step& step);
-  static int64_t BackfillMs(const Pass& pass,
-                            const Job& job,
-                            const StepSpec& spec,
-                            const Step& step);
+  int64_t BackfillMs(const Pass& pass,
+                     const Job& job,
+                     const StepSpec& spec,
+                     const Step& step) const;
   static Resources FreeFor(const Pass& pass, size_t n, int64_t task_ms);
   void LimitToTickets(Pass* pass, const Step& step, Time valid_at);
   bool Reserve(Pass* pass, const StepNeed& need);
@@ -454,7 +485,7 @@
   std::unordered_map<JobId, Job> jobs_;
   std::map<JobId, EndedJob> ended_;
   std::map<JobId, std::string> loaded_progress_;
-  std::map<BackendId, Server> servers_;
+  std::unordered_map<BackendId, Server> servers_;
   ReadySteps ready_;  ///< Steps with waiting tasks.
   std::set<JobId> changed_jobs_;
   std::vector<UnsentStart>
@@ -471,6 +502,8 @@
   std::map<JobId, Time>
       rate_limited_at_;  ///< Jobs found over the rate limit recently.
   std::map<std::string, uint32_t> rack_numbers_;
+  std::map<std::string, uint32_t> service_numbers_;
+  Time next_speed_check_ = kNever;
   Time now_ = kNever;  ///< Time of the last Tick or Run.
   uint64_t wall_ms_ = 0;
   Time loaded_at_ = kNever;
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -1,7 +1,7 @@
 // One placing pass of the cell. Private to cell_*.cc.
 #pragma once
 
-#include <map>
+#include <array>
 #include <string>
 #include <vector>
 
@@ -20,6 +20,8 @@
 struct Cell::ServiceCapacity {
   Resources total;
   Resources free;  ///< At the start of the pass, less reservations for gangs.
+
+  bool IsHalfEmpty() const { return free.millicores * 2 > total.millicores; }
 };
 
 /// State of one placing pass: the free resources of all servers, less what
@@ -35,8 +37,9 @@
   std::vector<std::vector<Reservation>> reserved;
   /// Per server; computed at the first reservation.
   std::vector<std::vector<Release>> releases;
-  std::vector<bool> slow;  ///< Per server: several times slower than others.
-  std::map<std::string, ServiceCapacity> services;
+  std::vector<ServiceCapacity> services;  ///< By number of the service.
+  /// Queues whose queries found all instances busy; urgent ones and others.
+  std::array<std::vector<QueueId>, 2> busy_queues;
   uint32_t reservations = 0;  ///< Gangs with reserved room.
 };
 
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -20,6 +20,7 @@
 constexpr uint32_t kMaxUnplacedBehind = 50;
 /// Retry interval of a step that no listed server could run.
 constexpr milliseconds kImpossiblePause{1000};
+constexpr milliseconds kSpeedCheckInterval{200};
 }  // namespace
 
 WaitingStep Cell::RankOf(const Job& job,
@@ -43,6 +44,11 @@
 
 /// Fills the pass with the servers that may get work now.
 void Cell::OpenPass(Pass* pass) {
+  pass->services.resize(service_numbers_.size());
+  const bool check_speed = pass->now >= next_speed_check_;
+  if (check_speed) {
+    next_speed_check_ = pass->now + kSpeedCheckInterval;
+  }
   for (auto& it : servers_) {
     Server& server = it.second;
     server.pass_index = kNoServer;
@@ -55,23 +61,27 @@
       pass->servers.push_back(&server);
       pass->free.push_back(server.entry.capacity.Without(server.used));
       pass->reserved.emplace_back();
-      const bool slow = speed_meter_.IsSlow(server.entry.id, pass->now);
-      if (slow != server.slow) {
-        server.slow = slow;
-        LogEvent(
-            Part::kPlacer, slow ? "backend_slow" : "backend_usual",
-            {{"backend", server.entry.id.value},
-             {"slowness", speed_meter_.SlownessOf(server.entry.id, pass->now)},
-             {"runs", server.runs.size()}});
+      if (check_speed) {
+        CheckSpeed(&server, pass->now);
       }
-      pass->slow.push_back(slow);
-      ServiceCapacity& room = pass->services[server.entry.service];
+      ServiceCapacity& room = pass->services[server.service];
       room.total = room.total + server.entry.capacity;
       room.free = room.free + pass->free.back();
     }
   }
 }
 
+void Cell::CheckSpeed(Server* server, Time now) {
+  const bool slow = speed_meter_.IsSlow(server->entry.id, now);
+  if (slow != server->slow) {
+    server->slow = slow;
+    LogEvent(Part::kPlacer, slow ? "backend_slow" : "backend_usual",
+             {{"backend", server->entry.id.value},
+              {"slowness", speed_meter_.SlownessOf(server->entry.id, now)},
+              {"runs", server->runs.size()}});
+  }
+}
+
 void Cell::Place(Time now) {
   if (ready_.empty() || servers_.empty()) {
     return;
@@ -128,7 +138,7 @@
     step->examined_at = pass->now;
     const bool urgent = !it.rank.rate_limited &&
                         DeadlineClassOf(it.rank) == DeadlineClass::kInTime;
-    unplaced += PlaceStep(pass, ref, urgent) ? 0 : 1;
+    unplaced += PlaceStep(pass, ref, urgent) == PlaceResult::kUnplaced ? 1 : 0;
   }
   return {};
 }
@@ -178,37 +188,39 @@
   return out;
 }
 
-/// @return True if no task of the step waits any more.
-bool Cell::PlaceStep(Pass* pass, const StepRef& ref, bool urgent) {
+Cell::PlaceResult Cell::PlaceStep(Pass* pass, const StepRef& ref, bool urgent) {
   Job* job = nullptr;
   Step* step = FindStep(ref, &job);
   if (step == nullptr || step->not_before > pass->now || step->tearing_down) {
-    return false;
+    return PlaceResult::kSkipped;
   }
   const StepSpec& spec = job->spec.steps[ref.step];
   uint32_t maybe_running = 0;
   const auto waiting = WaitingTasks(*step, &maybe_running);
   if (waiting.empty() && maybe_running == 0) {
     ready_.Erase(ref);
-    return true;
+    return PlaceResult::kPlaced;
   }
   if (waiting.empty() || (spec.gang && step->live + maybe_running > 0)) {
     step->wait_reason = maybe_running > 0 ? "runs of a former owner"
                                           : "other gang members still live";
-    return false;
+    return PlaceResult::kUnplaced;
   }
   StepNeed need =
       NeedOf(spec, *step, static_cast<uint32_t>(waiting.size()), pass->now);
   const uint32_t allowed = QuotaSlots(*job, spec.need);
   if (allowed == 0 || (spec.gang && allowed < need.count)) {
     step->wait_reason = "account quota used up";
-    return false;
+    return PlaceResult::kUnplaced;
   }
   need.count = std::min(need.count, allowed);
   if (!IsPossible(*job, spec)) {
     step->wait_reason = "no listed backend server can run it";
     step->not_before = pass->now + kImpossiblePause;
-    return false;
+    return PlaceResult::kUnplaced;
+  }
+  if (!MayChange(*pass, *job, *step, need, urgent)) {
+    return PlaceResult::kSkipped;
   }
   FillCandidates(pass, *job, ref, *step);
   auto candidates = pass->candidates;
@@ -220,7 +232,7 @@
     if (maybe_running == 0) {
       ready_.Erase(ref);
     }
-    return true;
+    return PlaceResult::kPlaced;
   }
   need.count -= placed;
   if (need.count > 0) {
@@ -231,7 +243,31 @@
     pass->candidates = std::move(candidates);
     QueryAndReserve(pass, job, ref, step, need, urgent);
   }
-  return false;
+  return PlaceResult::kUnplaced;
+}
+
+/// @return False if the step can neither start a task nor query advice nor
+/// reserve room in this pass.
+bool Cell::MayChange(const Pass& pass,
+                     const Job& job,
+                     const Step& step,
+                     const StepNeed& need,
+                     bool urgent) const {
+  if (!job.policy.advice || MayQueryAdvice(pass, job, step, urgent) ||
+      (need.gang && pass.reservations < kMaxReservations)) {
+    return true;
+  }
+  return std::any_of(step.advice.admitted.begin(), step.advice.admitted.end(),
+                     [&](const auto& it) {
+                       if (it.second.until <= pass.now + kTicketMargin) {
+                         return false;
+                       }
+                       const auto server = servers_.find(it.first);
+                       return server != servers_.end() &&
+                              server->second.pass_index != kNoServer &&
+                              SlotsIn({}, pass.free[server->second.pass_index],
+                                      need) > 0;
+                     });
 }
 
 /// Handles a step that does not fit now: queries the advice service about
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -234,6 +234,7 @@
   server.entry.labels.assign(record.labels().begin(), record.labels().end());
   server.entry.rack = record.rack();
   server.rack = RackNumber(record.rack());
+  server.service = ServiceNumber(record.service());
   server.record_stored = true;
   // The longest lease that a former owner may have granted just now, on a clock
   // that is 2% slow.
--- a/src/cell_room.cc
+++ b/src/cell_room.cc
@@ -41,12 +41,6 @@
                                     label) != entry.labels.end();
 }
 
-bool IsEligible(const BackendEntry& entry,
-                const std::string& service,
-                const StepSpec& spec) {
-  return entry.service == service && HasLabel(entry, spec.label);
-}
-
 }  // namespace
 
 Resources Cell::OccupiedResources(const StepSpec& spec) const {
@@ -81,11 +75,10 @@
 int64_t Cell::BackfillMs(const Pass& pass,
                          const Job& job,
                          const StepSpec& spec,
-                         const Step& step) {
-  const auto room = pass.services.find(job.policy.service);
-  const bool half_empty =
-      room != pass.services.end() &&
-      room->second.free.millicores * 2 > room->second.total.millicores;
+                         const Step& step) const {
+  const auto service = service_numbers_.find(job.policy.service);
+  const bool half_empty = service != service_numbers_.end() &&
+                          pass.services[service->second].IsHalfEmpty();
   const bool starved =
       half_empty && pass.now - step.waiting_since > kStarvedAfter;
   return starved ? 0 : ExpectedMs(spec);
@@ -103,9 +96,10 @@
                           const Step& step) {
   const StepSpec& spec = job.spec.steps[ref.step];
   const int64_t task_ms = BackfillMs(*pass, job, spec, step);
+  const uint32_t service = ServiceNumber(job.policy.service);
   pass->candidates.resize(pass->servers.size());
-  std::map<BackendId, uint32_t> step_tasks;
-  std::set<BackendId> failed_on;
+  std::unordered_map<BackendId, uint32_t> step_tasks;
+  std::unordered_set<BackendId> failed_on;
   for (const auto& it : step.tasks) {
     if (it.phase == TaskPhase::kLive &&
         (spec.per_server > 0 || spec.perpetual)) {
@@ -122,16 +116,18 @@
     candidate.total = server.entry.capacity;
     candidate.free = FreeFor(*pass, n, task_ms);
     candidate.rack = server.rack;
-    candidate.slow = pass->slow[n];
-    if (auto it = step_tasks.find(server.entry.id); it != step_tasks.end()) {
-      candidate.step_tasks = it->second;
+    candidate.slow = server.slow;
+    if (!step_tasks.empty()) {
+      const auto it = step_tasks.find(server.entry.id);
+      candidate.step_tasks = it == step_tasks.end() ? 0 : it->second;
     }
     candidate.penalty = server.strikes;
     if (!failed_on.empty() && failed_on.contains(server.entry.id)) {
       candidate.penalty += 1;
     }
     candidate.usable = server.avoid_until <= pass->now &&
-                       IsEligible(server.entry, job.policy.service, spec);
+                       server.service == service &&
+                       HasLabel(server.entry, spec.label);
     candidate.near_data = HasLabel(server.entry, spec.rack);
   }
 }
@@ -192,8 +188,8 @@
   need.task = OccupiedResources(spec);
   return std::any_of(servers_.begin(), servers_.end(), [&](const auto& it) {
     const BackendEntry& entry = it.second.entry;
-    return it.second.listed && IsEligible(entry, job.policy.service, spec) &&
-           SlotsIn({}, entry.capacity, need) > 0;
+    return it.second.listed && entry.service == job.policy.service &&
+           HasLabel(entry, spec.label) && SlotsIn({}, entry.capacity, need) > 0;
   });
 }
 
@@ -221,7 +217,7 @@
     if (gang.tasks[n] > 0) {
       const Resources reserved = need.task.Times(gang.tasks[n]);
       pass->reserved[n].push_back({reserved, gang.start_in_ms});
-      Resources& free = pass->services[pass->servers[n]->entry.service].free;
+      Resources& free = pass->services[pass->servers[n]->service].free;
       free = free.Without(reserved);
     }
   }
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -68,6 +68,7 @@
   server.entry = entry;
   server.entry.incarnation = incarnation;
   server.rack = RackNumber(entry.rack);
+  server.service = ServiceNumber(entry.service);
   if (entry.draining) {
     server.drain_ends_at =
         now +
@@ -85,6 +86,12 @@
       .first->second;
 }
 
+uint32_t Cell::ServiceNumber(const std::string& service) {
+  return service_numbers_
+      .try_emplace(service, static_cast<uint32_t>(service_numbers_.size()))
+      .first->second;
+}
+
 void Cell::DropBackend(const BackendId& id) {
   auto it = servers_.find(id);
   if (it == servers_.end() || !it->second.listed) {
--- a/test/cell_cost_test.cc
+++ b/test/cell_cost_test.cc
@@ -96,4 +96,38 @@
   });
 }
 
+// All instances ask the advice service already, so no step can ask or start.
+TEST(CellCost, PassDoesNotSearchAllServersForStepsThatCannotAsk) {
+  const auto cost = [](int steps) {
+    constexpr int kServers = 350;
+    CellHarness it(kServers);
+    it.config->accounts.front().weight = 1e6;
+    CellQueue advised = it.config->queues.front();
+    advised.name = QueueId("advised");
+    advised.advice = AdvicePolicy{7, 0.1, 2000};
+    it.config->queues.push_back(advised);
+    it.port.accepts_queries = false;
+    it.Advance(200);
+    for (int n = 0; n < steps; ++n) {
+      it.cell->Submit(NameOf(n), TeamId("t0"), QueueId("advised"),
+                      CellHarness::Tasks(3, 2000), it.now,
+                      [](const CellOutcome&) {});
+    }
+    return CostUs([&] {
+      constexpr int kPasses = 50;
+      constexpr milliseconds kPause{1000};  // Longer than that between passes.
+      for (int n = 0; n < kPasses; ++n) {
+        it.now += kPause;
+        it.cell->Run(it.now);
+      }
+    });
+  };
+  const double few = cost(5);
+  const double many = cost(150);
+  CHECK_TEXT(many < kMaxGrowth * few,
+             ("us: " + std::to_string(few) + " with 5 steps, " +
+              std::to_string(many) + " with 150")
+                 .c_str());
+}
+
 }  // namespace bw::test
