Fix: [Entry] Appends and renewals waited behind bursts of orders

Callers saw: acceptances, starts and ends late by 0.6 to 1.2 s under load, all of which wait for a record to be stored.

Cause: one HTTP client, and so one thread, carried the calls to the store and to all backend servers. An append of 40 KB is sent in several parts, each behind the burst of orders of a placing pass. Slow appends are spaced further apart, so that each carries more: 20 of 2 KB in a second became 5 of 40 KB. Class: head-of-line blocking between duties on one thread.

Change: the store has a client of its own. The line cell_state shows the number, size and latency of appends, without which this could not be told from a slow store.

--- a/bench/bw_bench.cc
+++ b/bench/bw_bench.cc
@@ -11,16 +11,20 @@
 //   bw_bench jobs                   replay of the jobs stream: cost, memory
 //   bw_bench fold                   replay of the control stream: cost, size,
 //                                   memory
+//   bw_bench owner                  processor time of an owner's threads for
+//                                   each task, 50 and 350 servers
 //   bw_bench latency GATE RUNNER    latency that the gate adds to direct calls
 
-#include <CppUTest/TestHarness.h>
+#include <CppUTest/CommandLineTestRunner.h>
 #include <CppUTest/MemoryLeakWarningPlugin.h>
 #include <malloc.h>
 
 #include <algorithm>
 #include <cstdio>
 #include <cstring>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "../src/fit_func.h"
 #include "../src/job_board_base.h"
@@ -32,6 +36,7 @@
 #include "../src/process_func.h"
 #include "../src/request_board_base.h"
 #include "../test/support/cell_harness.h"
+#include "../test/support/entry_fleet.h"
 #include "../test/support/fake_port.h"
 
 namespace bw {
@@ -208,6 +213,47 @@
   return 0;
 }
 
+/// @return Processor time of the owner's threads so far, in microseconds.
+std::map<std::string, double> OwnerCpu(const test::EntryFleet& fleet) {
+  const std::string log = fleet.Log(0);
+  const size_t at = log.rfind("\"cpu_us\":");
+  const size_t begin = log.find('{', at);
+  return Json::parse(log.substr(begin, log.find('}', begin) - begin + 1))
+      .get<std::map<std::string, double>>();
+}
+
+/// Processes on this machine: one owner, and the stand-in for all the rest.
+int BenchOwner() {
+  constexpr int kTasksPerJob = 6;
+  constexpr int kTaskMs = 600;
+  constexpr int kJobs = 1400;
+  constexpr milliseconds kBetweenJobs{7};
+  std::puts("servers  thread       us a task");
+  for (const int servers : {50, 350}) {
+    test::EntryFleet fleet(1, servers);
+    if (!fleet.Start()) {
+      return ToInt(ExitCode::kFailed);
+    }
+    std::this_thread::sleep_for(milliseconds(3000));
+    const auto before = OwnerCpu(fleet);
+    for (int n = 0; n < kJobs; ++n) {
+      char name[17];
+      std::snprintf(name, sizeof(name), "%016x", n);
+      const Time next = BootClock::now() + kBetweenJobs;
+      fleet.Call(0, "POST", name, test::EntryJob(kTasksPerJob, kTaskMs));
+      std::this_thread::sleep_for(next - BootClock::now());
+    }
+    std::this_thread::sleep_for(milliseconds(2000));
+    for (const auto& it : OwnerCpu(fleet)) {
+      const auto found = before.find(it.first);
+      const double us = it.second - (found == before.end() ? 0 : found->second);
+      std::printf("%7d  %-11s  %9.1f\n", servers, it.first.c_str(),
+                  us / (kJobs * kTasksPerJob));
+    }
+  }
+  return 0;
+}
+
 /// A job board with `workers` idle workers.
 struct JobBench {
   FakePort port;
@@ -428,6 +474,9 @@
   if (command == "pass") {
     return BenchPass();
   }
+  if (command == "owner") {
+    return BenchOwner();
+  }
   if (command == "order") {
     return BenchOrder();
   }
@@ -444,7 +493,8 @@
     return BenchLatency(argv[2], argv[3]);
   }
   std::fputs(
-      "Usage: bw_bench place | fit | pass | order | board | jobs | fold | "
+      "Usage: bw_bench place | fit | pass | owner | order | board | jobs | "
+      "fold | "
       "latency GATE RUNNER\n",
       stderr);
   return ToInt(ExitCode::kUsage);
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -29,7 +29,8 @@
 Entry::Entry(EntryOptions options)
     : options_(std::move(options)),
       http_(net::MakeHttpClient(kConnectionsPerHost)),
-      store_(platform::MakeHttpStore(options_.store, http_.get())),
+      store_http_(net::MakeHttpClient(kConnectionsPerHost)),
+      store_(platform::MakeHttpStore(options_.store, store_http_.get())),
       core_(
           kCoreTick,
           kCoreGap,
@@ -183,6 +184,9 @@
       std::chrono::duration_cast<milliseconds>(core_.TakeMaxQueueDelay());
   metrics_.Set("bw_max_queue_delay_seconds", "",
                static_cast<double>(queue_delay.count()) / 1000.0);
+  const auto records = owner_.CountRecords();
+  metrics_.Set("bw_append_latency_seconds", "",
+               static_cast<double>(records.latency_ms) / 1000.0);
   if (owner_.IsActive()) {
     LogEvent(Part::kPlacer, "cell_state",
              {{"jobs", counts.jobs},
@@ -199,6 +203,11 @@
               {"advice_busy", counts.advice_busy},
               {"members", membership_.Members().size()},
               {"queued_steps", core_.QueueSize()},
+              {"appends", records.calls},
+              {"records", records.records},
+              {"record_bytes", records.bytes},
+              {"append_ms", records.latency_ms},
+              {"unsent_batches", records.queued},
               {"max_queue_ms", queue_delay.count()},
               {"cpu_us", cpu_us}});
   }
@@ -270,6 +279,7 @@
   mesh_.reset();
   core_.Stop();
   http_.reset();
+  store_http_.reset();
 }
 
 }  // namespace bw
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -68,6 +68,9 @@
   bool IsFlushed() const { return !log_ || log_->IsEmpty(); }
   bool IsActive() const { return cell_ != nullptr && loaded_; }
   Cell::Counts Count() const;
+  RecordLog::Counts CountRecords() const {
+    return log_ ? log_->Count() : RecordLog::Counts{};
+  }
 
  private:
   void Start(const BackendEntry& to, platform::StartOrder order) override;
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -75,6 +75,8 @@
     out.batches.push_back(std::move(queued_.front()));
     queued_.pop_front();
   }
+  counters_.records += records;
+  counters_.bytes += bytes;
   if (records == 0) {
     out.stored = true;  // Nothing to send; finishes after the calls before it.
   } else {
@@ -105,6 +107,14 @@
   CompleteStored();
 }
 
+RecordLog::Counts RecordLog::Count() const {
+  Counts out = counters_;
+  out.latency_ms = static_cast<uint64_t>(
+      std::chrono::duration_cast<milliseconds>(average_latency_).count());
+  out.queued = queued_.size();
+  return out;
+}
+
 Duration RecordLog::StalledFor(Time now) const {
   return calls_.empty() ? Duration::zero() : now - calls_.front().first_sent;
 }
@@ -150,6 +160,7 @@
     first_append_ = false;
     last_failure_ = platform::StoreStatus::kOk;
     call->stored = true;
+    ++counters_.calls;
     average_latency_ +=
         (now - call->last_sent - average_latency_) / kAverageDivisor;
     CompleteStored();
--- a/src/record_log_base.h
+++ b/src/record_log_base.h
@@ -42,6 +42,16 @@
   /// there is none.
   Duration StalledFor(Time now) const;
 
+  /// Statistics for logs.
+  struct Counts {
+    uint64_t calls = 0;       ///< Appends stored, cumulative.
+    uint64_t records = 0;     ///< Records sent, cumulative.
+    uint64_t bytes = 0;       ///< Bytes of those records, cumulative.
+    uint64_t latency_ms = 0;  ///< Moving average of an append's latency.
+    size_t queued = 0;        ///< Batches that were not sent yet.
+  };
+  Counts Count() const;
+
   bool IsEmpty() const { return calls_.empty() && queued_.empty(); }
 
  private:
@@ -76,6 +86,7 @@
   uint64_t next_sequence_ = 1;
   bool first_append_ = true;  ///< No append of this epoch has succeeded.
   Time newest_call_at_ = kNever;
+  Counts counters_;              ///< Only the cumulative fields are used.
   Duration average_latency_{0};  ///< Moving average of an append's latency.
   platform::StoreStatus last_failure_ = platform::StoreStatus::kOk;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
