Fix: [Cell] Placing passes starved orders and reports of processor time

Cause: placing could use a third of the core thread's time in which the thread runs, half of an instance's share once the HTTP threads need it too. Placing more does not help while the orders of the last pass wait. Class: no back-pressure between stages that share a processor.

Change: the pause after a pass is four times its duration, not twice.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -20,6 +20,9 @@
 
 /// Minimum time between two placing passes, as events come in bursts.
 constexpr milliseconds kMinPassInterval{5};
+/// Pause after a pass, as a multiple of its duration: orders and reports need
+/// most of the processor time.
+constexpr int kPauseFactor = 4;
 
 CellOutcome Accept(const char* state) {
   CellOutcome out;
@@ -500,11 +503,11 @@
   if (port_->MayAct() && port_->IsStoreResponsive() && now >= next_pass_) {
     const Time began = BootClock::now();
     Place(now);
-    // Placing takes at most a third of the core thread's time.
     const Duration took = BootClock::now() - began;
     ++counters_.passes;
     counters_.pass_us += static_cast<uint64_t>(took.count());
-    next_pass_ = now + took + std::max<Duration>(kMinPassInterval, 2 * took);
+    next_pass_ =
+        now + took + std::max<Duration>(kMinPassInterval, kPauseFactor * took);
   }
   StoreChanges();
 }
