Codechange: [Cell] Names of the waiting steps; hand-over only after failed owners are forgotten

A hand-over to a listed instance that has failed costs an interruption, so an owner waits longer than a failed instance stays listed: 6 s instead of 3 s.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -165,13 +165,13 @@
   job.arrival = ++last_arrival_;
   job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
   job.rate_limited = IsRateLimited(id, team, now);
-  if (ShouldRejectJob(job.rate_limited, ready_.rate_limited())) {
+  if (ShouldRejectJob(job.rate_limited, ready_.CountRateLimited())) {
     LogEvent(Part::kPlacer, "job_refused",
              {{"job", id.value},
               {"team", team.value},
               {"queue", queue.value},
               {"why", "account beyond its rate"},
-              {"waiting_steps", ready_.size()}});
+              {"waiting_steps", ready_.Size()}});
     done(Refuse(CellStatus::kOverloaded, "account beyond its rate"));
     return;
   }
@@ -516,7 +516,7 @@
   Counts out = counters_;
   out.jobs = jobs_.size();
   out.servers = servers_.size();
-  out.waiting_steps = ready_.size();
+  out.waiting_steps = ready_.Size();
   for (const auto& it : servers_) {
     const Server& server = it.second;
     out.runs += server.runs.size();
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -83,14 +83,14 @@
 }
 
 void Cell::Place(Time now) {
-  if (ready_.empty() || servers_.empty()) {
+  if (ready_.Size() == 0 || servers_.empty()) {
     return;
   }
   Pass pass;
   pass.now = now;
   OpenPass(&pass);
   std::vector<RankedStep> order;
-  for (auto it = ready_.begin(); it != ready_.end();) {
+  for (auto it = ready_.All().begin(); it != ready_.All().end();) {
     Job* job = nullptr;
     Step* step = FindStep(it->first, &job);
     if (step == nullptr || job->state != JobState::kActive) {
@@ -386,7 +386,7 @@
   constexpr milliseconds kLongWait{3000};
   constexpr uint32_t kMaxLines = 5;
   uint32_t lines = 0;
-  for (const auto& [ref, entry] : ready_) {
+  for (const auto& [ref, entry] : ready_.All()) {
     auto job = jobs_.find(ref.job);
     if (job == jobs_.end()) {
       continue;
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -61,8 +61,8 @@
   Metrics metrics_;
   HybridClock clock_;
   std::unique_ptr<net::HttpClient> http_;
-  /// The store has a client of its own, so that renewals and appends do not wait
-  /// behind bursts of orders.
+  /// The store has a client of its own, so that renewals and appends do not
+  /// wait behind bursts of orders.
   std::unique_ptr<net::HttpClient> store_http_;
   std::unique_ptr<platform::Store> store_;
   EventLoop core_;
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <functional>
 #include <tuple>
 
 #include "fleet_func.h"
@@ -43,16 +42,22 @@
 }
 
 std::vector<FleetMember> SortedByAddress(std::vector<FleetMember> members) {
-  std::ranges::sort(members, {}, &FleetMember::address);
-  const auto rest = std::ranges::unique(members, {}, &FleetMember::address);
-  members.erase(rest.begin(), rest.end());
+  std::sort(members.begin(), members.end(),
+            [](const FleetMember& a, const FleetMember& b) {
+              return a.address < b.address;
+            });
+  members.erase(std::unique(members.begin(), members.end(),
+                            [](const FleetMember& a, const FleetMember& b) {
+                              return a.address == b.address;
+                            }),
+                members.end());
   return members;
 }
 
 uint32_t OwnerRank(std::span<const FleetMember> members,
                    const FleetMember& self) {
   return static_cast<uint32_t>(
-      std::ranges::count_if(members, [&](const FleetMember& it) {
+      std::count_if(members.begin(), members.end(), [&](const FleetMember& it) {
         return it.address != self.address && IsPreferredOwner(it, self);
       }));
 }
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -30,8 +30,9 @@
 /// Limits of the random delay of a candidate that cannot read the fleet.
 constexpr uint32_t kMinJoinDelayMs = 300;
 constexpr uint32_t kMaxJoinDelayMs = 1000;
-/// Shortest time between gaining the cell and handing it over.
-constexpr milliseconds kMinOwnership{3000};
+/// Shortest time between gaining the cell and handing it over. Longer than
+/// kFleetTtlMs, after which a failed former owner is no longer listed.
+constexpr milliseconds kMinOwnership{6000};
 constexpr milliseconds kFleetJoinInterval{1500};
 constexpr uint32_t kFleetTtlMs = 5000;
 
--- a/src/ready_steps_base.h
+++ b/src/ready_steps_base.h
@@ -32,14 +32,11 @@
     return steps_.erase(it);
   }
 
-  Steps::iterator begin() { return steps_.begin(); }
-  Steps::iterator end() { return steps_.end(); }
-  Steps::const_iterator begin() const { return steps_.begin(); }
-  Steps::const_iterator end() const { return steps_.end(); }
-  bool empty() const { return steps_.empty(); }
-  size_t size() const { return steps_.size(); }
+  Steps& All() { return steps_; }
+  const Steps& All() const { return steps_; }
+  size_t Size() const { return steps_.size(); }
   /// @return Number of steps of rate-limited jobs.
-  size_t rate_limited() const { return rate_limited_; }
+  size_t CountRateLimited() const { return rate_limited_; }
 
  private:
   Steps steps_;
