Fix: [Entry] The mesh ends after the clients whose replies use it

The reply to the leave of a stopping owner sends an offer over the mesh; with a slow store it could come after the mesh had ended. Found by reading the change.

--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -31,22 +31,22 @@
 }
 
 /// @return What the advice service said about each server of the pass.
-std::vector<Cell::Known> Cell::KnownServers(const Pass& pass,
-                                            const AdviceState& advice,
-                                            Time renew_at) const {
-  std::vector<Known> out(pass.servers.size(), Known::kUnknown);
-  const auto set = [&](const BackendId& id, Known known) {
+std::vector<Cell::TicketState> Cell::TicketStates(const Pass& pass,
+                                                  const AdviceState& advice,
+                                                  Time renew_at) const {
+  std::vector<TicketState> out(pass.servers.size(), TicketState::kUnknown);
+  const auto set = [&](const BackendId& id, TicketState state) {
     const auto server = servers_.find(id);
     if (server != servers_.end() && server->second.pass_index != kNoServer) {
-      out[server->second.pass_index] = known;
+      out[server->second.pass_index] = state;
     }
   };
   for (const auto& it : advice.admitted) {
-    set(it.first,
-        it.second.until > renew_at ? Known::kValidTicket : Known::kAdmitted);
+    set(it.first, it.second.until > renew_at ? TicketState::kValidTicket
+                                             : TicketState::kAdmitted);
   }
   for (const auto& it : advice.rejected) {
-    set(it, Known::kRejected);
+    set(it, TicketState::kRejected);
   }
   return out;
 }
@@ -68,18 +68,19 @@
       IsSlow(policy) ? policy.query_ms : 0);
   const Time renew_at =
       pass->now + kTicketMargin + std::chrono::duration_cast<Duration>(ahead);
-  const auto known = KnownServers(*pass, advice, renew_at);
+  const auto tickets = TicketStates(*pass, advice, renew_at);
   std::vector<AdviceCandidate> candidates;
   std::vector<uint32_t> indices;
   for (uint32_t n = 0; n < pass->candidates.size(); ++n) {
     const ServerCandidate& server = pass->candidates[n];
-    if (!MayUse(server, need) || known[n] == Known::kRejected) {
+    if (!MayUse(server, need) || tickets[n] == TicketState::kRejected) {
       continue;
     }
-    candidates.push_back(
-        {SlotsIn(server, server.free, need),
-         SlotsIn(server, server.total, need), server.free.millicores,
-         known[n] == Known::kValidTicket, known[n] != Known::kUnknown});
+    candidates.push_back({SlotsIn(server, server.free, need),
+                          SlotsIn(server, server.total, need),
+                          server.free.millicores,
+                          tickets[n] == TicketState::kValidTicket,
+                          tickets[n] != TicketState::kUnknown});
     indices.push_back(n);
   }
   const double share =
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -406,15 +406,15 @@
                  const StepNeed& need,
                  bool urgent) const;
   /// What the advice service said about a server.
-  enum class Known : uint8_t {
+  enum class TicketState : uint8_t {
     kUnknown,
     kRejected,
     kAdmitted,  ///< Its ticket has expired or soon will.
     kValidTicket,
   };
-  std::vector<Known> KnownServers(const Pass& pass,
-                                  const AdviceState& advice,
-                                  Time renew_at) const;
+  std::vector<TicketState> TicketStates(const Pass& pass,
+                                        const AdviceState& advice,
+                                        Time renew_at) const;
   static bool MayQueryAdvice(const Pass& pass,
                              const Job& job,
                              const Step& step,
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -276,10 +276,10 @@
   front_server_.reset();
   ready_server_.reset();
   metrics_server_.reset();
-  mesh_.reset();
   core_.Stop();
   http_.reset();
   store_http_.reset();
+  mesh_.reset();  // Last, as replies of the store may send an offer.
 }
 
 }  // namespace bw
