Codechange: [Test] A connection that is reset right after the request

The client reports it as unknown, fresh connections and reused ones, in 50 rounds each, so this is not the cause; kept as a guard.

--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -21,8 +21,12 @@
 /// closes the connection without a response, like a server that restarts.
 class FlakyServer {
  public:
-  explicit FlakyServer(int port)
-      : acceptor_(io_,
+  /// @param resets Whether it resets the connection instead of closing it.
+  /// @param answered Requests of a connection that get a response.
+  explicit FlakyServer(int port, bool resets = false, int answered = 1)
+      : resets_(resets),
+        answered_(answered),
+        acceptor_(io_,
                   Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
                                 static_cast<uint16_t>(port))) {
     thread_ = std::thread([this] {
@@ -49,7 +53,7 @@
 
  private:
   void Serve(Tcp::socket* socket) {
-    for (int n = 0; n < 2; ++n) {
+    for (int n = 0; n <= answered_; ++n) {
       std::error_code ec;
       std::string text;
       while (text.find("unique-body") == std::string::npos && !ec) {
@@ -60,15 +64,21 @@
         return;
       }
       ++seen_;
-      if (n == 0) {
+      if (n < answered_) {
         asio::write(*socket,
                     asio::buffer(std::string(
                         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")),
                     ec);
       }
     }
+    if (resets_) {
+      std::error_code ec;
+      socket->set_option(asio::socket_base::linger(true, 0), ec);
+    }
   }
 
+  const bool resets_;
+  const int answered_;
   asio::io_context io_;
   Tcp::acceptor acceptor_;
   std::atomic<int> seen_{0};
@@ -208,6 +218,28 @@
   LONGS_EQUAL(2, server.seen());
 }
 
+// A zone is cut off with resets while a backend server executes an order.
+TEST(HttpClient, ResetAfterTheRequestIsNeverNotSent) {
+  constexpr int kRounds = 50;
+  for (int answered = 0; answered < 2; ++answered) {
+    const int port = FreePorts(1);
+    FlakyServer server(port, true, answered);
+    auto client = net::MakeHttpClient(1);
+    net::HttpCall call;
+    call.method = "POST";
+    call.url = "http://127.0.0.1:" + std::to_string(port) + "/run";
+    call.body = "unique-body";
+    for (int n = 0; n < kRounds; ++n) {
+      if (answered == 1) {
+        CHECK(SendAndWait(client.get(), call).Ok());
+      }
+      CHECK(SendAndWait(client.get(), call).delivery ==
+            net::DeliveryStatus::kUnknown);
+    }
+    LONGS_EQUAL((answered + 1) * kRounds, server.seen());
+  }
+}
+
 TEST(HttpClient, NobodyListensMeansNotSent) {
   auto client = net::MakeHttpClient(1);
   net::HttpCall call;
