Fix: [Http] A request that was sent could be reported as not sent

Cause: libcurl's last error was a failed connect, after the request had gone out on a former connection. Which of its retries this was is not shown.

Change: not sent is reported only if no byte of the body was handed to libcurl.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -128,6 +128,10 @@
   HttpResult& result = transfer->result;
   result.delivery = TimedOutConnecting(easy, code) ? DeliveryStatus::kNotSent
                                                    : ToDeliveryStatus(code);
+  // libcurl may have failed to connect again after it had sent the request.
+  if (result.delivery == DeliveryStatus::kNotSent && transfer->body_sent > 0) {
+    result.delivery = DeliveryStatus::kUnknown;
+  }
   long status = 0;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
   result.status = static_cast<int>(status);
