Codechange: [Test] A server that is lost after it received an order

Brings about the TWICE of KNOWN-RED: the backend server reads the order on a reused connection, stops listening and ends the connection.

Cause, from libcurl's own trace of the test: 'Connection died, retrying a fresh connect', 'state.rewindbeforesend = TRUE', 'Failed to connect'. This libcurl rewinds the body only once the new connection stands, so a refused seek does not end the call before that, and the last error is a failed connect: not sent. Ruled out: a time-out of the first connect (23 ms had passed of 700), a lost permission to act (checked before the first byte).

--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -24,9 +24,15 @@
  public:
   /// @param resets Whether it resets the connection instead of closing it.
   /// @param answered Requests of a connection that get a response.
-  explicit FlakyServer(int port, bool resets = false, int answered = 1)
+  /// @param vanishes Whether it stops listening before that, like a server in
+  /// a zone that is cut off.
+  explicit FlakyServer(int port,
+                       bool resets = false,
+                       int answered = 1,
+                       bool vanishes = false)
       : resets_(resets),
         answered_(answered),
+        vanishes_(vanishes),
         acceptor_(io_,
                   Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
                                 static_cast<uint16_t>(port))) {
@@ -39,14 +45,20 @@
           return;
         }
         Serve(&socket);
+        if (vanishes_) {
+          return;
+        }
       }
     });
   }
   ~FlakyServer() {
     stop_ = true;
-    Tcp::socket poke(io_);
     std::error_code ec;
-    poke.connect(acceptor_.local_endpoint(), ec);
+    const auto endpoint = acceptor_.local_endpoint(ec);
+    if (!ec) {
+      Tcp::socket poke(io_);
+      poke.connect(endpoint, ec);
+    }
     thread_.join();
   }
 
@@ -72,6 +84,11 @@
                     ec);
       }
     }
+    if (vanishes_) {
+      std::error_code ec;
+      stop_ = true;
+      acceptor_.close(ec);
+    }
     if (resets_) {
       std::error_code ec;
       socket->set_option(asio::socket_base::linger(true, 0), ec);
@@ -80,6 +97,7 @@
 
   const bool resets_;
   const int answered_;
+  const bool vanishes_;
   asio::io_context io_;
   Tcp::acceptor acceptor_;
   std::atomic<int> seen_{0};
@@ -248,6 +266,28 @@
   }
 }
 
+// TWICE: a zone was cut off with resets while a backend server executed an
+// order. The connection was a reused one and no new one could be established.
+TEST(HttpClient, LostServerAfterTheRequestIsNeverNotSent) {
+  constexpr int kRounds = 30;
+  for (int n = 0; n < kRounds; ++n) {
+    for (const bool resets : {true, false}) {
+      const int port = FreePorts(1);
+      constexpr int kAnswered = 1;
+      FlakyServer server(port, resets, kAnswered, true);
+      auto client = net::MakeHttpClient(1);
+      net::HttpCall call;
+      call.method = "POST";
+      call.url = "http://127.0.0.1:" + std::to_string(port) + "/run";
+      call.body = "unique-body";
+      CHECK(SendAndWait(client.get(), call).Ok());
+      CHECK(SendAndWait(client.get(), call).delivery ==
+            net::DeliveryStatus::kUnknown);
+      LONGS_EQUAL(kAnswered + 1, server.seen());
+    }
+  }
+}
+
 TEST(HttpClient, NobodyListensMeansNotSent) {
   auto client = net::MakeHttpClient(1);
   net::HttpCall call;
