--- a/src/event_loop_base.h
+++ b/src/event_loop_base.h
@@ -7,13 +7,14 @@
 #include <functional>
 #include <thread>
 
+#include "guard_func.h"
 #include "ring.h"
 #include "thread_cpu_func.h"
 
 namespace bw {
 
-/// Runs callbacks in order on one thread. Post and PostBlocking are
-/// thread-safe.
+/// Runs callbacks in order on one thread; deferrable ones only when no others
+/// are queued, or after a while. The Post functions are thread-safe.
 class EventLoop {
  public:
   using Callback = std::function<void()>;
@@ -51,10 +52,33 @@
     }
   }
 
+  /// Queues new work, which waits until the loop has handled what belongs to
+  /// earlier work. @param callback Gets the time for which it was queued.
+  /// @return False if the queue is full or closed; the callback is dropped.
+  bool PostDeferrable(std::function<void(Duration)> callback) {
+    const Time now = BootClock::now();
+    Queued item{[callback = std::move(callback), now] {
+                  callback(BootClock::now() - now);
+                },
+                now};
+    if (!deferrable_.Push(item)) {
+      return false;
+    }
+    if (deferrable_.size() == 1) {
+      Post([] {});  // Wakes the loop.
+    }
+    return true;
+  }
+
   /// Sets a callback that runs whenever the queue is empty after a callback or
-  /// a tick. @pre The loop has not been started.
+  /// a tick, and at least every `kMaxIdleInterval`.
+  /// @pre The loop has not been started.
   void SetIdleCallback(Callback idle) { idle_ = std::move(idle); }
 
+  /// Sets a callback that runs after a callback threw an exception; what it
+  /// changed may be incomplete. @pre The loop has not been started.
+  void SetErrorCallback(Callback on_error) { on_error_ = std::move(on_error); }
+
   /// @return The number of queued callbacks.
   size_t QueueSize() const { return ring_.size(); }
 
@@ -67,6 +91,7 @@
   /// Ends the thread; callbacks still queued may not run.
   void Stop() {
     ring_.Close();
+    deferrable_.Close();
     thread_.request_stop();
     if (thread_.joinable()) {
       thread_.join();
@@ -74,7 +99,11 @@
   }
 
  private:
-  static constexpr size_t kRingSize = 16'384;  ///< Callbacks.
+  static constexpr size_t kRingSize = 16'384;          ///< Callbacks.
+  static constexpr size_t kDeferrableRingSize = 4096;  ///< Callbacks.
+  /// Longest time without the idle callback, and without a deferrable one while
+  /// some are queued.
+  static constexpr milliseconds kMaxIdleInterval{50};
 
   struct Queued {
     Callback callback;
@@ -85,8 +114,9 @@
     const ScopedThreadCpu cpu("core");
     Time last = BootClock::now();
     Time next_tick = last;
+    Time last_idle = last;
     while (!stop.stop_requested()) {
-      auto item = ring_.PopUntil(next_tick);
+      auto item = ring_.PopUntil(deferrable_.size() > 0 ? kNever : next_tick);
       const Time now = BootClock::now();
       if (now - last > gap_ + every_) {
         on_gap_();
@@ -95,15 +125,28 @@
       if (item) {
         max_queue_delay_ =
             std::max(max_queue_delay_.load(), (now - item->queued_at).count());
-        item->callback();
+        Guarded(item->callback);
       }
       if (now >= next_tick) {
-        tick_();
+        Guarded(tick_);
         next_tick = now + every_;
       }
-      if (idle_ && ring_.size() == 0) {
-        idle_();
+      if (ring_.size() > 0 && now - last_idle < kMaxIdleInterval) {
+        continue;
       }
+      last_idle = now;
+      if (idle_) {
+        Guarded(idle_);
+      }
+      if (auto deferred = deferrable_.TryPop()) {
+        Guarded(deferred->callback);
+      }
+    }
+  }
+
+  void Guarded(const Callback& callback) const {
+    if (!RunGuarded(Part::kKernel, "core", callback) && on_error_) {
+      RunGuarded(Part::kKernel, "error_callback", on_error_);
     }
   }
 
@@ -112,7 +155,9 @@
   const Callback tick_;
   const Callback on_gap_;
   Callback idle_;
+  Callback on_error_;
   Ring<Queued> ring_{kRingSize};
+  Ring<Queued> deferrable_{kDeferrableRingSize};
   std::atomic<Duration::rep> max_queue_delay_{0};
   std::jthread thread_;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -12,6 +12,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "../guard_func.h"
 #include "../ring.h"
 #include "../thread_cpu_func.h"
 
@@ -24,7 +25,6 @@
 constexpr int kMaxPollMs = 1000;
 constexpr int kMaxEvents = 256;  ///< Events handled after one wait.
 constexpr int64_t kMaxConnectMs = 2000;
-constexpr long kMaxCachedConnections = 1024;  ///< Kept open for reuse.
 
 /// State of one call; the libcurl easy handle points to its buffers.
 struct Transfer {
@@ -144,14 +144,14 @@
 /// depend on the number of open transfers.
 class CurlClient : public HttpClient {
  public:
-  explicit CurlClient(long connections_per_host)
+  CurlClient(long connections_per_host, long cached_connections)
       : calls_(kCallRingSize),
         multi_(curl_multi_init()),
         epoll_fd_(epoll_create1(EPOLL_CLOEXEC)),
         wake_fd_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
     curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                       connections_per_host);
-    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, cached_connections);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, OnSocketInterest);
     curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
     Watch(EPOLL_CTL_ADD, wake_fd_, EPOLLIN);
@@ -294,7 +294,9 @@
       auto node = active_.extract(easy);
       Finish(easy, code, node.mapped().get());
       idle_.push_back(easy);
-      node.mapped()->done(std::move(node.mapped()->result));
+      RunGuarded(Part::kKernel, "http_callback", [&] {
+        node.mapped()->done(std::move(node.mapped()->result));
+      });
     }
   }
 
@@ -310,8 +312,9 @@
 
 }  // namespace
 
-std::unique_ptr<HttpClient> MakeHttpClient(long connections_per_host) {
-  return std::make_unique<CurlClient>(connections_per_host);
+std::unique_ptr<HttpClient> MakeHttpClient(long connections_per_host,
+                                           long cached_connections) {
+  return std::make_unique<CurlClient>(connections_per_host, cached_connections);
 }
 
 HttpResult CallAndWait(const HttpCall& call) {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -30,7 +30,10 @@
 
 /// Creates a libcurl client.
 /// @param connections_per_host Maximum number of open connections per server.
-std::unique_ptr<HttpClient> MakeHttpClient(long connections_per_host);
+/// @param cached_connections Maximum number of connections kept open for reuse;
+/// with fewer than are in use at a time, calls pay for new connections.
+std::unique_ptr<HttpClient> MakeHttpClient(long connections_per_host,
+                                           long cached_connections = 1024);
 
 /// Sends one call on the calling thread and blocks until it ends. Thread-safe.
 HttpResult CallAndWait(const HttpCall& call);
--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -10,6 +10,7 @@
 #include <vector>
 #include <zmq.hpp>
 
+#include "../guard_func.h"
 #include "../log_func.h"
 #include "../ring.h"
 #include "../thread_cpu_func.h"
@@ -123,28 +124,33 @@
   void Run(const std::stop_token& stop) {
     const ScopedThreadCpu cpu("mesh");
     while (!stop.stop_requested()) {
-      std::vector<zmq::pollitem_t> items = {
-          {nullptr, wake_fd_, ZMQ_POLLIN, 0},
-          {router_.handle(), 0, ZMQ_POLLIN, 0}};
-      std::vector<zmq::socket_t*> sockets;
-      for (auto& it : peers_) {
-        items.push_back({it.second.handle(), 0, ZMQ_POLLIN, 0});
-        sockets.push_back(&it.second);
-      }
-      zmq::poll(items, pending_.empty() ? kIdlePollTimeout : kExpiryInterval);
-      uint64_t drained = 0;
-      [[maybe_unused]] auto n = read(wake_fd_, &drained, sizeof(drained));
-      if ((items[1].revents & ZMQ_POLLIN) != 0) {
-        ReceiveRequests();
-      }
-      for (size_t i = 0; i < sockets.size(); ++i) {
-        if ((items[i + 2].revents & ZMQ_POLLIN) != 0) {
-          ReceiveResponses(*sockets[i]);
-        }
+      // ZeroMQ throws if a call fails, also when a signal interrupts it.
+      RunGuarded(Part::kMesh, "mesh", [this] { RunOnce(); });
+    }
+  }
+
+  /// Waits for messages and handles them.
+  void RunOnce() {
+    std::vector<zmq::pollitem_t> items = {{nullptr, wake_fd_, ZMQ_POLLIN, 0},
+                                          {router_.handle(), 0, ZMQ_POLLIN, 0}};
+    std::vector<zmq::socket_t*> sockets;
+    for (auto& it : peers_) {
+      items.push_back({it.second.handle(), 0, ZMQ_POLLIN, 0});
+      sockets.push_back(&it.second);
+    }
+    zmq::poll(items, pending_.empty() ? kIdlePollTimeout : kExpiryInterval);
+    uint64_t drained = 0;
+    [[maybe_unused]] auto n = read(wake_fd_, &drained, sizeof(drained));
+    if ((items[1].revents & ZMQ_POLLIN) != 0) {
+      ReceiveRequests();
+    }
+    for (size_t i = 0; i < sockets.size(); ++i) {
+      if ((items[i + 2].revents & ZMQ_POLLIN) != 0) {
+        ReceiveResponses(*sockets[i]);
       }
-      SendQueued();
-      ExpirePending();
     }
+    SendQueued();
+    ExpirePending();
   }
 
   void SendQueued() {
@@ -211,7 +217,9 @@
       }
       clock_->Observe(request.hlc());
       const uint64_t seq = request.seq();
-      handler_(request, MakeReply(identity.to_string(), seq));
+      RunGuarded(Part::kMesh, "mesh_request", [&] {
+        handler_(request, MakeReply(identity.to_string(), seq));
+      });
     }
   }
 
@@ -249,7 +257,8 @@
       clock_->Observe(response.hlc());
       auto node = pending_.extract(response.seq());
       if (!node.empty() && node.mapped().done) {
-        node.mapped().done(&response);
+        RunGuarded(Part::kMesh, "mesh_response",
+                   [&] { node.mapped().done(&response); });
       }
     }
   }
--- a/src/platform/advice.cc
+++ b/src/platform/advice.cc
@@ -28,7 +28,7 @@
   }
   const json body = ParseObject(result.body);
   out.answered = true;
-  out.valid_ms = NumberOf(body, "validMs").value_or(0);
+  out.valid_ms = NumberUpTo(kMaxDurationMs, body, "validMs").value_or(0);
   for (const json& it : ListOf(body, "good")) {
     if (it.is_array() && it.size() >= 2 && it[0].is_string() &&
         it[1].is_string()) {
--- a/src/platform/backend.cc
+++ b/src/platform/backend.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
@@ -121,9 +122,16 @@
 }
 
 Resources ParseResources(const json& value) {
-  return {NumberOf(value, "cpu").value_or(0),
-          NumberOf(value, "memMb").value_or(0),
-          NumberOf(value, "gpu").value_or(0)};
+  return {NumberUpTo(kMaxAmount, value, "cpu").value_or(0),
+          NumberUpTo(kMaxAmount, value, "memMb").value_or(0),
+          NumberUpTo(kMaxAmount, value, "gpu").value_or(0)};
+}
+
+/// @return True if `id` can be a backend server's name: it is sent in headers
+/// and stored in records, which take no other bytes.
+bool IsPrintable(const std::string& id) {
+  return !id.empty() && std::all_of(id.begin(), id.end(),
+                                    [](char c) { return c > ' ' && c <= '~'; });
 }
 
 }  // namespace
@@ -264,13 +272,14 @@
   out.zone = ZoneId(TextOf(body, "zone"));
   const std::string state = TextOf(body, "state");
   const bool known_state = state == "ready" || state == "draining";
-  if (out.service.empty() || SplitAddress(out.address).port == 0 ||
-      !known_state || body.find("capacity") == body.end()) {
+  if (!IsPrintable(id) || out.service.empty() ||
+      SplitAddress(out.address).port == 0 || !known_state ||
+      body.find("capacity") == body.end()) {
     return std::nullopt;
   }
   out.draining = state == "draining";
   out.incarnation = NumberOf(body, "born").value_or(0);
-  out.remaining_ms = NumberOf(body, "remainingMs");
+  out.remaining_ms = NumberUpTo(kMaxDurationMs, body, "remainingMs");
   out.capacity = ParseResources(body["capacity"]);
   for (const json& it : ListOf(body, "labels")) {
     if (it.is_string()) {
--- a/src/platform/configuration.cc
+++ b/src/platform/configuration.cc
@@ -1,5 +1,7 @@
 #include "configuration.h"
 
+#include <algorithm>
+
 #include "../text_func.h"
 #include "json_func.h"
 
@@ -8,6 +10,10 @@
 
 using nlohmann::json;
 
+/// Larger values would overflow when times are derived from them.
+constexpr double kMaxStretch = 1000;
+constexpr double kMaxAdviceMs = 60'000;
+
 CellQueue ParseQueue(const json& route) {
   CellQueue out;
   out.name = QueueId(TextOf(route, "name"));
@@ -17,14 +23,16 @@
   out.priority = static_cast<uint32_t>(NumberOf(route, "priority").value_or(0));
   out.max_attempts =
       static_cast<uint32_t>(NumberOf(route, "maxAttempts").value_or(1));
-  out.stretch = RealOf(route, "stretch", 1);
-  out.target_latency_ms = NumberOf(route, "targetLatencyMs").value_or(0);
+  out.stretch = std::clamp(RealOf(route, "stretch", 1), 0.0, kMaxStretch);
+  out.target_latency_ms =
+      NumberUpTo(kMaxDurationMs, route, "targetLatencyMs").value_or(0);
   out.anonymous = FlagOf(route, "anonymous");
   auto advice = route.find("advice");
   if (advice != route.end() && advice->is_object()) {
-    out.advice = AdvicePolicy{RealOf(*advice, "decideMs", 0),
-                              RealOf(*advice, "eachMs", 0),
-                              NumberOf(*advice, "validMs").value_or(0)};
+    out.advice = AdvicePolicy{
+        std::clamp(RealOf(*advice, "decideMs", 0), 0.0, kMaxAdviceMs),
+        std::clamp(RealOf(*advice, "eachMs", 0), 0.0, kMaxAdviceMs),
+        NumberUpTo(kMaxDurationMs, *advice, "validMs").value_or(0)};
   }
   return out;
 }
@@ -40,9 +48,9 @@
   }
   auto maximum = tenant.find("maximum");
   if (maximum != tenant.end()) {
-    out.maximum = {NumberOf(*maximum, "cpu").value_or(0),
-                   NumberOf(*maximum, "memMb").value_or(0),
-                   NumberOf(*maximum, "gpu").value_or(0)};
+    out.maximum = {NumberUpTo(kMaxAmount, *maximum, "cpu").value_or(0),
+                   NumberUpTo(kMaxAmount, *maximum, "memMb").value_or(0),
+                   NumberUpTo(kMaxAmount, *maximum, "gpu").value_or(0)};
   }
   return out;
 }
--- a/src/platform/ingress.cc
+++ b/src/platform/ingress.cc
@@ -1,6 +1,8 @@
 #include "ingress.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 
 #include "json_func.h"
 
@@ -13,15 +15,17 @@
 constexpr const char* kDeadlineHeader = "bilberrywing-deadline-ms";
 constexpr milliseconds kDefaultWait{3000};
 constexpr size_t kJobIdLength = 16;
-constexpr uint32_t kMaxTasksPerStep = 100'000;
+constexpr uint64_t kMaxTasksPerJob = 20'000;
+constexpr int64_t kMaxWaitMs = 600'000;
 
 StepSpec ParseStep(const json& row) {
   StepSpec out;
-  out.count = static_cast<uint32_t>(NumberOf(row, "count").value_or(1));
-  out.need = {NumberOf(row, "cpu").value_or(0),
-              NumberOf(row, "memMb").value_or(0),
-              NumberOf(row, "gpu").value_or(0)};
-  out.estimate_ms = NumberOf(row, "estimateMs").value_or(0);
+  out.count = static_cast<uint32_t>(
+      NumberUpTo(kMaxTasksPerJob + 1, row, "count").value_or(1));
+  out.need = {NumberUpTo(kMaxAmount, row, "cpu").value_or(0),
+              NumberUpTo(kMaxAmount, row, "memMb").value_or(0),
+              NumberUpTo(kMaxAmount, row, "gpu").value_or(0)};
+  out.estimate_ms = NumberUpTo(kMaxDurationMs, row, "estimateMs").value_or(0);
   for (const json& it : ListOf(row, "dependsOn")) {
     if (it.is_number_unsigned()) {
       out.depends_on.push_back(it.get<uint32_t>());
@@ -76,7 +80,9 @@
   const std::string wait = request.Header(kDeadlineHeader);
   int64_t ms = 0;
   const auto read = std::from_chars(wait.data(), wait.data() + wait.size(), ms);
-  out.wait = read.ec == std::errc() && ms > 0 ? milliseconds(ms) : kDefaultWait;
+  out.wait = read.ec == std::errc() && ms > 0
+                 ? milliseconds(std::min(ms, kMaxWaitMs))
+                 : kDefaultWait;
   out.body = request.body;
   return out;
 }
@@ -105,19 +111,23 @@
     return SpecError::kMalformed;
   }
   spec->payload = TextOf(object, "spec");
+  uint64_t tasks = 0;
   for (const json& it : ListOf(object, "steps")) {
     if (!it.is_object()) {
       return SpecError::kMalformed;
     }
     spec->steps.push_back(ParseStep(it));
-    if (spec->steps.back().count == 0 ||
-        spec->steps.back().count > kMaxTasksPerStep) {
+    tasks += spec->steps.back().count;
+    if (spec->steps.back().count == 0 || tasks > kMaxTasksPerJob) {
       return SpecError::kMalformed;
     }
   }
-  spec->start_at_ms = NumberOf(object, "startAtMs").value_or(0);
-  spec->repeat_count = NumberOf(object, "repeatCount").value_or(0);
-  spec->interval_ms = NumberOf(object, "intervalMs").value_or(0);
+  spec->start_at_ms = NumberUpTo(kMaxWallMs, object, "startAtMs").value_or(0);
+  spec->repeat_count =
+      NumberUpTo(std::numeric_limits<uint32_t>::max(), object, "repeatCount")
+          .value_or(0);
+  spec->interval_ms =
+      NumberUpTo(kMaxDurationMs, object, "intervalMs").value_or(0);
   if (spec->steps.empty()) {
     return SpecError::kNoSteps;
   }
--- a/src/platform/ingress.h
+++ b/src/platform/ingress.h
@@ -25,7 +25,7 @@
 /// Why a submitted job is rejected.
 enum class SpecError : uint8_t {
   kNone,
-  kMalformed,  ///< Malformed, or a step's task count is out of range.
+  kMalformed,  ///< Malformed, or the number of tasks is out of range.
   kNoSteps,
   kForwardDependency,  ///< A step depends on itself or on a later step.
 };
--- a/src/platform/json_func.h
+++ b/src/platform/json_func.h
@@ -2,6 +2,7 @@
 // type counts as absent. Thread-safe.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -46,6 +47,22 @@
              : std::nullopt;
 }
 
+/// @return As NumberOf, but at most `most`, and `most` for a larger number.
+inline std::optional<uint64_t> NumberUpTo(uint64_t most,
+                                          const nlohmann::json& object,
+                                          const char* field) {
+  const auto out = NumberOf(object, field);
+  return out ? std::optional(std::min(*out, most)) : std::nullopt;
+}
+
+/// Largest duration that is taken over, in ms: over a hundred days. Larger ones
+/// would overflow when times are added.
+inline constexpr uint64_t kMaxDurationMs = 10'000'000'000;
+/// Largest amount of a resource that is taken over.
+inline constexpr uint64_t kMaxAmount = uint64_t{1} << 40;
+/// Latest wall-clock time that is taken over, in ms since 1970.
+inline constexpr uint64_t kMaxWallMs = 100'000'000'000'000;
+
 /// @return The value of a number field; `default_value` if absent or of another
 /// type.
 inline double RealOf(const nlohmann::json& object,
