--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -15,6 +15,10 @@
 
 /// A shutdown stops waiting for work in progress this long before SIGKILL.
 constexpr milliseconds kKillMargin{900};
+/// File descriptors kept free of connections to backend servers: files, and
+/// those of callers, of other instances and of the store.
+constexpr int64_t kOtherFds = 1000;
+constexpr int64_t kMinBackendConnections = 64;
 
 EntryOptions OptionsFrom(const Settings& settings) {
   const auto ms = [&](const char* name, double factor = 1) {
@@ -30,6 +34,8 @@
   if (const int64_t n = settings.Int("listen.metrics_offset"); n > 0) {
     out.listen_metrics = at(port + n);
   }
+  out.backend_connections = static_cast<long>(std::max(
+      kMinBackendConnections, settings.Int("instance.max_fds") - kOtherFds));
   out.store = settings.Text("platform.store");
   out.advice = settings.Text("platform.advice");
   out.max_call_bytes =
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -14,6 +14,8 @@
 
 /// Retry-After of a refusal during a take-over or an outage.
 constexpr uint32_t kRetryAfterMs = 1000;
+/// Refused callers return within this time after that, not all at once.
+constexpr uint32_t kRetrySpreadMs = 2000;
 /// A job whose record could not be sent to the store within this time is
 /// refused.
 constexpr milliseconds kStoreTimeout{800};
@@ -24,6 +26,9 @@
 /// most of the processor time.
 constexpr int kPauseFactor = 4;
 
+/// Occurrences of a job that are open at a time; further ones wait.
+constexpr size_t kMaxOpenOccurrences = 200;
+
 CellOutcome Accept(const char* state) {
   CellOutcome out;
   out.state = state;
@@ -119,6 +124,22 @@
   return out;
 }
 
+bool Cell::Knows(const JobId& id) const {
+  return ended_.contains(id) || jobs_.contains(id);
+}
+
+CellOutcome Cell::RefuseOverload(const JobId& id, const char* reason) const {
+  LogEvent(Part::kPlacer, "job_refused",
+           {{"job", id.value},
+            {"why", reason},
+            {"waiting_steps", ready_.Size()},
+            {"servers", servers_.size()}});
+  CellOutcome out = Refuse(CellStatus::kOverloaded, reason);
+  out.retry_after_ms += static_cast<uint32_t>(
+      std::hash<std::string>()(id.value) % kRetrySpreadMs);
+  return out;
+}
+
 void Cell::Submit(const JobId& id,
                   const TeamId& team,
                   const QueueId& queue,
@@ -150,6 +171,12 @@
     done(Refuse(CellStatus::kStoreUnavailable, "store does not answer"));
     return;
   }
+  const uint32_t service = ServiceNumber(policy->service);
+  const bool half_empty = service >= half_empty_.size() || half_empty_[service];
+  if (IsBacklogFull(ready_.Size(), servers_.size(), half_empty)) {
+    done(RefuseOverload(id, "too many steps are waiting"));
+    return;
+  }
   Job job;
   if (platform::ReadBatchSpec(body, &job.spec) != platform::SpecError::kNone) {
     done(Refuse(CellStatus::kMalformed, "job cannot be read"));
@@ -310,6 +337,7 @@
 void Cell::OpenDueOccurrences(Job* job, uint64_t wall_ms, Time now) {
   const uint64_t count = std::max<uint64_t>(1, job->spec.repeat_count);
   while (job->state == JobState::kActive && job->next_occurrence < count &&
+         job->occurrences.size() < kMaxOpenOccurrences &&
          wall_ms >= job->spec.start_at_ms +
                         job->next_occurrence * job->spec.interval_ms) {
     AddOccurrence(job, job->next_occurrence, now);
@@ -455,19 +483,20 @@
   now_ = now;
   wall_ms_ = wall_ms;
   RefuseUnstoredJobs(now);
-  const std::set<JobId> timed = scheduled_jobs_;
+  const std::set<JobId> timed = scheduled_jobs_;  // Changed by the calls.
   for (const auto& id : timed) {
     if (Job* job = FindJob(id); job != nullptr) {
       OpenDueOccurrences(job, wall_ms, now);
     }
   }
-  std::vector<BackendId> ids;
-  ids.reserve(servers_.size());
+  std::vector<BackendId> unlisted;
   for (auto& it : servers_) {
-    ids.push_back(it.first);
+    CheckServer(&it.second, now);
+    if (!it.second.listed) {
+      unlisted.push_back(it.first);
+    }
   }
-  for (const auto& id : ids) {
-    CheckServer(&servers_.at(id), now);
+  for (const auto& id : unlisted) {
     DropServerIfIdle(id);
   }
   if (!settled_ && maybe_running_count_ == 0) {
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -49,7 +49,10 @@
   virtual ~CellPort() = default;
 
   /// Sends a start order. Response: Cell::OnStartResponse.
-  virtual void Start(const BackendEntry& to, platform::StartOrder order) = 0;
+  /// @param repeated Whether it was sent before and got no response.
+  virtual void Start(const BackendEntry& to,
+                     platform::StartOrder order,
+                     bool repeated) = 0;
   /// Sends a stop order. Response: Cell::OnStopResponse.
   virtual void Stop(const BackendEntry& to, const RunRef& run) = 0;
   /// Polls a backend server: renews leases, acknowledges ends and reads its
@@ -132,6 +135,11 @@
               const std::string& body,
               Time now,
               CellDone done);
+  /// @return True if the job was accepted or its acceptance is being stored.
+  bool Knows(const JobId& id) const;
+  /// @return The refusal of a new job while more is waiting than the cell can
+  /// place. The time until the caller should try again is spread over jobs.
+  CellOutcome RefuseOverload(const JobId& id, const char* reason) const;
   CellOutcome State(const JobId& id, const TeamId& team) const;
   void Cancel(const JobId& id, const TeamId& team, Time now, CellDone done);
   uint64_t CountWaiting(const QueueId& queue) const;
@@ -196,7 +204,8 @@
     Time stop_sent_at = kNever;
     Time stop_confirmed_at = kNever;
     bool stop_in_flight = false;
-    uint64_t serial = 0;  ///< Distinguishes runs that reuse a number.
+    bool repeated = false;  ///< Its start order was sent a second time.
+    uint64_t serial = 0;    ///< Distinguishes runs that reuse a number.
     uint64_t estimate_ms = 0;
     Time idle_since = kNever;  ///< No processor time used since; kNever: busy.
     std::string checkpoint;
@@ -226,6 +235,7 @@
     Time unknown_leases_lapse_at = kNever;
     uint64_t clock_ms = 0;            ///< Its steady clock in its last report.
     Time clock_read_at = kNever;      ///< When `clock_ms` was received.
+    Time report_sent_at = kNever;     ///< When that poll was sent.
     uint64_t lease_end_ms = 0;        ///< Latest lease end sent, on its clock.
     uint64_t last_processed_end = 0;  ///< Number of the last end processed.
     uint64_t acknowledged = 0;        ///< Ends up to this number are stored.
@@ -339,7 +349,6 @@
   void StoreServerRecord(Server* server);
   void DropServerIfIdle(const BackendId& id);
   void SendPoll(Server* server, Time now);
-  void SendStop(Server* server, const RunRef& run, LiveRun* live, Time now);
   void ProcessEnds(Server* server, const BackendReport& report, Time now);
   void ProcessRunning(Server* server,
                       const BackendReport& report,
@@ -368,10 +377,26 @@
   void AvoidServer(Server* server, Time now);
   void AddStrike(Server* server, Time now);
   bool LeasesLapsed(const Server& server, Time now) const;
+  static bool IsSilent(const Server& server, Time now);
   uint64_t ServerClockMs(const Server& server, Time now) const;
   void CheckServer(Server* server, Time now);
   void Evacuate(Server* server, Time now);
 
+  // cell_order.cc: orders to backend servers.
+  void SendStart(const UnsentStart& start, Time now);
+  platform::StartOrder MakeStartOrder(Server* server,
+                                      const RunRef& run,
+                                      const Job& job,
+                                      const Task& task,
+                                      Time now) const;
+  bool RepeatStart(Server* server, const RunRef& run, LiveRun* live, Time now);
+  void OnStartUnknown(Server* server,
+                      const RunRef& run,
+                      LiveRun* live,
+                      Time sent,
+                      Time now);
+  void SendStop(Server* server, const RunRef& run, LiveRun* live, Time now);
+
   // cell_place.cc: placing.
   struct Pass;
   struct ServiceCapacity;
@@ -445,7 +470,6 @@
                  Step* step,
                  Server* server,
                  uint64_t run);
-  void SendStart(const UnsentStart& start, Time now);
   uint64_t NextRun(const Job& job, const Task& task) const;
 
   // cell_room.cc: free and reserved resources of the servers.
@@ -503,6 +527,9 @@
       rate_limited_at_;  ///< Jobs found over the rate limit recently.
   std::map<std::string, uint32_t> rack_numbers_;
   std::map<std::string, uint32_t> service_numbers_;
+  /// By number of the service: whether less than half of its capacity was in
+  /// use in the last pass.
+  std::vector<bool> half_empty_;
   Time next_speed_check_ = kNever;
   Time now_ = kNever;  ///< Time of the last Tick or Run.
   uint64_t wall_ms_ = 0;
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -12,6 +12,10 @@
 /// Minimum remaining validity of a ticket when a task is placed.
 inline constexpr milliseconds kTicketMargin{120};
 
+/// A backend server that did not respond gets no work for this long, or until
+/// it responds.
+inline constexpr milliseconds kSuspectDuration{10'000};
+
 inline int64_t SignedMs(uint64_t n) {
   return static_cast<int64_t>(n);
 }
@@ -28,6 +32,7 @@
 /// earlier steps of the pass took or reserved.
 struct Cell::Pass {
   Time now;
+  Time ends_at = kNever;  ///< No further step is examined then, by BootClock.
   std::vector<Server*> servers;
   /// As the step being placed may use them.
   std::vector<ServerCandidate> candidates;
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -21,6 +21,9 @@
 /// Retry interval of a step that no listed server could run.
 constexpr milliseconds kImpossiblePause{1000};
 constexpr milliseconds kSpeedCheckInterval{200};
+/// Maximum durations of a pass: of the steps in rank order and of all.
+constexpr milliseconds kMaxRankedTime{20};
+constexpr milliseconds kMaxPassTime{30};
 }  // namespace
 
 WaitingStep Cell::RankOf(const Job& job,
@@ -69,6 +72,10 @@
       room.free = room.free + pass->free.back();
     }
   }
+  half_empty_.clear();
+  for (const auto& it : pass->services) {
+    half_empty_.push_back(it.IsHalfEmpty());
+  }
 }
 
 void Cell::CheckSpeed(Server* server, Time now) {
@@ -88,6 +95,8 @@
   }
   Pass pass;
   pass.now = now;
+  const Time began = BootClock::now();
+  pass.ends_at = began + kMaxRankedTime;
   OpenPass(&pass);
   std::vector<RankedStep> order;
   for (auto it = ready_.All().begin(); it != ready_.All().end();) {
@@ -114,10 +123,12 @@
                    [](const RankedStep& a, const RankedStep& b) {
                      return a.examined_at < b.examined_at;
                    });
+  pass.ends_at = began + kMaxPassTime;
   PlaceInOrder(&pass, oldest, kMaxUnplacedBehind);
 }
 
-/// Places steps until `max_unplaced` of them could not be placed.
+/// Places steps until `max_unplaced` of them could not be placed or the pass
+/// takes too long.
 /// @return The steps after those.
 std::span<const Cell::RankedStep> Cell::PlaceInOrder(
     Pass* pass,
@@ -132,7 +143,7 @@
     if (step == nullptr || step->not_before > pass->now) {
       continue;  // Not examined, so it does not count as unplaced.
     }
-    if (unplaced == max_unplaced) {
+    if (unplaced == max_unplaced || BootClock::now() > pass->ends_at) {
       return order.subspan(n);
     }
     step->examined_at = pass->now;
@@ -325,62 +336,6 @@
   return std::max(task.run, base) + 1;
 }
 
-/// Sends a start whose record is stored, unless it is obsolete by now.
-void Cell::SendStart(const UnsentStart& start, Time now) {
-  const RunRef& run = start.run;
-  auto found = servers_.find(start.backend);
-  if (found == servers_.end()) {
-    return;
-  }
-  Server* server = &found->second;
-  auto it = server->runs.find(run);
-  if (it == server->runs.end() || it->second.serial != start.serial) {
-    return;  // Dropped, or placed again, while the record was being stored.
-  }
-  LiveRun* live = &it->second;
-  Job* job = nullptr;
-  Step* step = nullptr;
-  Task* task = FindTask(run.task, &job, &step);
-  const char* why_not = nullptr;
-  if (task == nullptr || job->state != JobState::kActive ||
-      live->phase != RunPhase::kStarting) {
-    why_not = "obsolete before it was sent";
-  } else if (!server->lists_read || server->entry.draining ||
-             server->suspect_until > now) {
-    why_not = "backend server draining or not responding";
-  }
-  platform::StartOrder order;
-  if (why_not == nullptr && job->policy.advice) {
-    auto ticket = step->advice.admitted.find(server->entry.id);
-    if (ticket != step->advice.admitted.end() &&
-        ticket->second.until > now + kTicketMargin / 2) {
-      order.ticket = ticket->second.text;
-    } else {
-      why_not = "advice ticket expired";
-    }
-  }
-  if (why_not != nullptr) {
-    OnRunGone(server, run, why_not, now);
-    return;
-  }
-  live->start_sent_at = now;
-  live->from_scratch = task->checkpoint.empty();
-  order.run = run;
-  order.payload = job->spec.payload;
-  order.fencing_token = options_.fencing_token;
-  order.checkpoint = task->checkpoint;
-  order.lease_end_ms = ServerClockMs(*server, now) +
-                       static_cast<uint64_t>(options_.lease.count());
-  server->lease_end_ms = std::max(server->lease_end_ms, order.lease_end_ms);
-  LogEvent(Part::kPlacer, "run_start",
-           {{"task", platform::TaskName(run.task)},
-            {"run", run.number},
-            {"backend", server->entry.id.value},
-            {"free", server->entry.capacity.Without(server->used).millicores},
-            {"waited_ms", AgeMs(step->waiting_since, now)}});
-  port_->Start(server->entry, std::move(order));
-}
-
 /// Logs some of the steps that have waited for long, and why.
 void Cell::LogLongWaits(Time now) const {
   constexpr milliseconds kLongWait{3000};
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "cell_base.h"
+#include "cell_pass.h"
 #include "event_log_func.h"
 #include "platform/store.h"
 
@@ -22,9 +22,10 @@
 constexpr milliseconds kPollRetry{300};
 /// Interval between attempts to send a stop.
 constexpr milliseconds kStopRetry{500};
-/// A backend server that did not respond gets no work for this long, or until
-/// it responds.
-constexpr milliseconds kSuspectDuration{10'000};
+/// Ends are acknowledged only if the last report is younger than this: a
+/// restarted backend server numbers its ends anew and would drop others. No
+/// process restarts faster.
+constexpr milliseconds kMaxReportAgeForAck{1500};
 /// A running task that uses no processor time for this long counts as stuck.
 constexpr milliseconds kIdleTimeout{1'500};
 /// Range of run times, as factors of the estimate, in which an idle gang member
@@ -114,15 +115,19 @@
   }
 }
 
-/// Handles a restart of a backend server: its earlier runs are gone, but orders
-/// without a response may still be executed.
+/// Handles a restart of a backend server: its earlier runs are gone. Orders
+/// without a response may still be executed, and those sent since its last
+/// report may have reached the new incarnation; its lists show which did.
 void Cell::OnNewIncarnation(Server* server, Time now) {
   std::vector<RunRef> lost;
   for (auto& it : server->runs) {
-    if (it.second.phase == RunPhase::kUnconfirmed ||
-        it.second.phase == RunPhase::kStarting) {
-      it.second.stop_confirmed_at = kNever;
-      it.second.stop_sent_at = kNever;
+    LiveRun& live = it.second;
+    const bool since_report = live.start_sent_at != kNever &&
+                              live.start_sent_at >= server->report_sent_at;
+    if (since_report || live.phase == RunPhase::kUnconfirmed ||
+        live.phase == RunPhase::kStarting) {
+      live.stop_confirmed_at = kNever;
+      live.stop_sent_at = kNever;
     } else {
       lost.push_back(it.first);
     }
@@ -212,16 +217,24 @@
   usage = usage.Without(job.spec.steps[ref.step].need);
 }
 
+/// @return True if the server did not respond to the last poll. While a poll is
+/// pending, its report may be on its way or waiting to be processed.
+bool Cell::IsSilent(const Server& server, Time now) {
+  return server.suspect_until > now && !server.poll_in_flight;
+}
+
 void Cell::CheckServer(Server* server, Time now) {
   if (!server->lists_read && server->unknown_leases_lapse_at != kNever &&
       now >= server->unknown_leases_lapse_at &&
-      server->clock_read_at == kNever) {
+      server->clock_read_at == kNever && IsSilent(*server, now)) {
     server->unknown_leases_lapse_at = kNever;
     ResolveMaybeRunning(server->entry.id, now);
   }
-  const bool any_sent = std::any_of(
-      server->runs.begin(), server->runs.end(),
-      [](const auto& it) { return it.second.start_sent_at != kNever; });
+  const bool any_sent =
+      IsSilent(*server, now) &&
+      std::any_of(server->runs.begin(), server->runs.end(), [](const auto& it) {
+        return it.second.start_sent_at != kNever;
+      });
   if (any_sent && LeasesLapsed(*server, now)) {
     std::vector<RunRef> lost;
     for (const auto& it : server->runs) {
@@ -268,7 +281,10 @@
 void Cell::SendPoll(Server* server, Time now) {
   platform::PollRequest request;
   request.fencing_token = options_.fencing_token;
-  request.acknowledged = server->acknowledged;
+  const bool same_incarnation =
+      server->suspect_until <= now && server->clock_read_at != kNever &&
+      now - server->clock_read_at < kMaxReportAgeForAck;
+  request.acknowledged = same_incarnation ? server->acknowledged : 0;
   if (server->clock_read_at != kNever && server->lists_read) {
     // An unresponsive server may still receive its polls. Its leases are not
     // renewed, or they would never be known to have lapsed.
@@ -279,115 +295,13 @@
       server->lease_end_ms =
           std::max(server->lease_end_ms, *request.lease_end_ms);
     }
-    request.wait_ms = server->runs.empty() ? 0 : kPollWaitMs;
+    const bool wait = !server->runs.empty() && server->suspect_until <= now;
+    request.wait_ms = wait ? kPollWaitMs : 0;
   }
   server->poll_in_flight = true;
   port_->Poll(server->entry, request);
 }
 
-void Cell::SendStop(Server* server,
-                    const RunRef& run,
-                    LiveRun* live,
-                    Time now) {
-  if (live->phase != RunPhase::kUnconfirmed) {
-    live->phase = RunPhase::kStopping;
-  }
-  if (live->stop_in_flight || live->start_sent_at == kNever) {
-    return;  // A start that was not sent yet is dropped in SendStart.
-  }
-  live->stop_in_flight = true;
-  live->stop_sent_at = now;
-  port_->Stop(server->entry, run);
-}
-
-void Cell::OnStopResponse(const BackendId& backend,
-                          const RunRef& run,
-                          OrderResult result,
-                          Time now) {
-  auto it = servers_.find(backend);
-  if (it == servers_.end()) {
-    return;
-  }
-  auto live = it->second.runs.find(run);
-  if (live == it->second.runs.end()) {
-    return;
-  }
-  live->second.stop_in_flight = false;
-  if (result == OrderResult::kDone) {
-    live->second.stop_confirmed_at = now;
-    it->second.next_poll_at = kNever;
-  } else if (result == OrderResult::kFenced) {
-    port_->OnFenced();
-  }
-}
-
-void Cell::OnStartResponse(const BackendId& backend,
-                           const RunRef& run,
-                           OrderResult result,
-                           Time sent,
-                           Time now) {
-  if (result == OrderResult::kFenced) {
-    port_->OnFenced();
-    return;
-  }
-  auto it = servers_.find(backend);
-  if (it == servers_.end()) {
-    return;
-  }
-  Server* server = &it->second;
-  auto found = server->runs.find(run);
-  if (found == server->runs.end()) {
-    return;
-  }
-  LiveRun* live = &found->second;
-  if (result == OrderResult::kDone) {
-    live->start_confirmed_at = now;
-    if (live->phase == RunPhase::kStarting) {
-      live->phase = RunPhase::kRunning;
-    }
-    return;
-  }
-  if (result == OrderResult::kUnknown) {
-    LogEvent(Part::kPlacer, "start_unknown",
-             {{"task", platform::TaskName(run.task)},
-              {"run", run.number},
-              {"backend", backend.value},
-              {"after_ms", AgeMs(sent, now)}});
-    live->phase = RunPhase::kUnconfirmed;
-    server->suspect_until = now + kSuspectDuration;
-    SendStop(server, run, live, now);
-    Job* job = nullptr;
-    Step* step = nullptr;
-    if (FindTask(run.task, &job, &step) != nullptr &&
-        job->spec.steps[run.task.step].gang) {
-      // The other members cannot proceed without it.
-      TearDownGang(job, run.task, now);
-    }
-    return;
-  }
-  Job* job = nullptr;
-  Step* step = nullptr;
-  if (FindTask(run.task, &job, &step) != nullptr) {
-    if (result == OrderResult::kNoTicket) {
-      step->advice.admitted.erase(backend);
-    }
-    constexpr milliseconds kPause{200};
-    if (result == OrderResult::kInvalid || result == OrderResult::kNoRoom) {
-      step->not_before = now + kPause;
-    }
-  }
-  if (result == OrderResult::kUnhealthy) {
-    AddStrike(server, now);
-  }
-  if (result == OrderResult::kNotSent ||
-      result == OrderResult::kOtherIncarnation ||
-      result == OrderResult::kExpired || result == OrderResult::kNoRoom) {
-    server->lists_read = false;  // Requires a new poll before the next start.
-    server->suspect_until = now + kSuspectDuration;
-  }
-  OnRunGone(server, run, OrderResultName(result), now);
-}
-
 void Cell::OnPollResponse(const BackendId& backend,
                           const BackendReport& report,
                           Time sent,
@@ -445,6 +359,7 @@
   server->unknown_leases_lapse_at = kNever;
   server->clock_ms = report.clock_ms;
   server->clock_read_at = now;
+  server->report_sent_at = sent;
   server->next_poll_at = report.ended.empty() ? now : now + kPollPause;
   ProcessEnds(server, report, now);
   ProcessRunning(server, report, sent, now);
@@ -479,7 +394,9 @@
     }
     LiveRun* live = &found->second;
     live->checkpoint = row.checkpoint;
-    if (live->phase == RunPhase::kUnconfirmed && live->stop_sent_at == kNever) {
+    const bool unconfirmed = live->phase == RunPhase::kStarting ||
+                             live->phase == RunPhase::kUnconfirmed;
+    if (unconfirmed && live->stop_sent_at == kNever) {
       live->phase = RunPhase::kRunning;
       live->start_confirmed_at = now;
     }
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -28,7 +28,8 @@
 
 Entry::Entry(EntryOptions options)
     : options_(std::move(options)),
-      http_(net::MakeHttpClient(kConnectionsPerHost)),
+      http_(net::MakeHttpClient(kConnectionsPerHost,
+                                options_.backend_connections)),
       store_http_(net::MakeHttpClient(kConnectionsPerHost)),
       store_(platform::MakeHttpStore(options_.store, store_http_.get())),
       core_(
@@ -65,6 +66,7 @@
                        OfferCell(to, BootClock::now() + kMaxOfferTime);
                      }});
   core_.SetIdleCallback([this] { owner_.Idle(BootClock::now()); });
+  core_.SetErrorCallback([this] { owner_.OnUnexpectedError(); });
   core_.Start();
   net::HttpServerOptions front;
   front.listen = options_.listen_front;
@@ -216,9 +218,16 @@
 void Entry::OnMeshRequest(const proto::Envelope& request,
                           net::Mesh::Reply reply) {
   if (request.has_cell_call()) {
-    core_.Post([this, call = request.cell_call(), reply] {
-      HandleCellCall(call, reply);
-    });
+    const proto::CellCall& call = request.cell_call();
+    if (IsDeferrable(call)) {
+      core_.PostDeferrable([this, call, reply](Duration queued) {
+        HandleCellCall(call, queued, reply);
+      });
+    } else {
+      core_.Post([this, call, reply] {
+        HandleCellCall(call, Duration::zero(), reply);
+      });
+    }
   } else if (request.has_cell_offer()) {
     core_.Post([this] { membership_.AcceptOffer(); });
   } else if (request.has_advice_call()) {
@@ -229,8 +238,9 @@
 }
 
 void Entry::HandleCellCall(const proto::CellCall& call,
+                           Duration queued,
                            net::Mesh::Reply reply) {
-  owner_.Handle(call, [reply](const CellOutcome& outcome) {
+  owner_.Handle(call, queued, [reply](const CellOutcome& outcome) {
     proto::Envelope out;
     auto* it = out.mutable_cell_reply();
     it->set_verdict(static_cast<uint32_t>(outcome.status));
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -26,6 +26,7 @@
   std::string listen_metrics;  ///< "ip:port" of the metrics; empty: none.
   std::string store;           ///< "ip:port" of the platform's store.
   std::string advice;  ///< "ip:port" of the advice service; may be empty.
+  long backend_connections = 1024;  ///< Kept open to backend servers.
   size_t max_call_bytes = 1 << 20;  ///< Most record bytes in one store call.
   milliseconds grace{6000};         ///< Between SIGTERM and SIGKILL.
   MembershipOptions membership;
@@ -52,7 +53,9 @@
   void Tick();
   void OnMeshRequest(const proto::Envelope& request, net::Mesh::Reply reply);
   void OfferCell(const std::string& to, Time until);
-  void HandleCellCall(const proto::CellCall& call, net::Mesh::Reply reply);
+  void HandleCellCall(const proto::CellCall& call,
+                      Duration queued,
+                      net::Mesh::Reply reply);
   void HandleAdviceCall(const proto::AdviceCall& call, net::Mesh::Reply reply);
   net::HttpResponse ReadyPage(const net::HttpRequest& request) const;
   void UpdateMetrics(Time now);
--- a/src/front.cc
+++ b/src/front.cc
@@ -16,6 +16,7 @@
 /// in about 10 ms, or 900 ms with a slow store; a repeated call joins the
 /// pending one.
 constexpr milliseconds kOwnerReplyTimeout{500};
+constexpr uint32_t kMaxReplyTimeoutDoublings = 2;
 /// A submission that may have been accepted ends with "outcome unknown" after
 /// this, so that the caller has time left to retry at another instance.
 constexpr milliseconds kUnknownOutcomeTimeout{1200};
@@ -174,14 +175,31 @@
     return;
   }
   ++call->unknown_sends;
-  if (parts_.membership->IsSelf(owner)) {
-    call->retry_at = BootClock::now() + kOwnerReplyTimeout;
-    parts_.owner->Handle(call->message, [this, call](const CellOutcome& it) {
-      OnOutcome(call, it);
-    });
+  ++call->sends;
+  call->sent_to = owner;
+  if (!parts_.membership->IsSelf(owner)) {
+    SendOverMesh(call, owner);
     return;
   }
-  SendOverMesh(call, owner);
+  call->retry_at = BootClock::now() + ReplyTimeout(*call);
+  const auto handle = [this, call](Duration queued) {
+    parts_.owner->Handle(
+        call->message, queued,
+        [this, call](const CellOutcome& it) { OnOutcome(call, it); });
+  };
+  if (!IsDeferrable(call->message)) {
+    handle(Duration::zero());
+  } else if (!parts_.core->PostDeferrable(handle)) {
+    --call->unknown_sends;
+    RetryLater(call, "the owner is busy");
+  }
+}
+
+/// @return Time after which a call without a reply is sent again. Grows, as a
+/// busy owner must not get ever more copies of the calls it has not reached.
+milliseconds Front::ReplyTimeout(const Call& call) {
+  return kOwnerReplyTimeout *
+         (1 << std::min(call.sends - 1, kMaxReplyTimeoutDoublings));
 }
 
 void Front::SendOverMesh(const CallPtr& call, const std::string& owner) {
@@ -192,19 +210,26 @@
   call->retry_at = kNever;
   mesh_->SendRequest(
       owner, std::move(request),
-      std::clamp(left, kRetryPause, kOwnerReplyTimeout),
-      [this, call](const proto::Envelope* envelope) {
+      std::clamp(left, kRetryPause, ReplyTimeout(*call)),
+      [this, call, send = call->sends](const proto::Envelope* envelope) {
         CellOutcome out;
         out.status = CellStatus::kUnknown;
         if (envelope != nullptr && envelope->has_cell_reply()) {
           out = FromReply(envelope->cell_reply());
         }
-        parts_.core->PostBlocking([this, call, out] { OnOutcome(call, out); });
+        parts_.core->PostBlocking([this, call, out, send] {
+          // A later send has a reply of its own.
+          if (out.status != CellStatus::kUnknown || send == call->sends) {
+            OnOutcome(call, out);
+          }
+        });
       },
-      [this, call] {
-        parts_.core->PostBlocking([this, call] {
+      [this, call, send = call->sends] {
+        parts_.core->PostBlocking([this, call, send] {
           --call->unknown_sends;
-          RetryLater(call, "the owner is not reached");
+          if (send == call->sends) {
+            RetryLater(call, "the owner is not reached");
+          }
         });
       });
 }
@@ -323,6 +348,7 @@
 void Front::Tick(Time now) {
   ready_ = parts_.config->Current() != nullptr &&
            parts_.config->ConfigAgeMs(now) < kMaxReadyAgeMs;
+  const std::string& owner = parts_.membership->OwnerAddress();
   std::vector<CallPtr> due;
   for (auto it = open_calls_.begin(); it != open_calls_.end();) {
     const CallPtr& call = it->second;
@@ -330,7 +356,10 @@
       it = open_calls_.erase(it);
       continue;
     }
-    const bool retry = call->retry_at != kNever && now >= call->retry_at;
+    const bool moved =
+        call->retry_at == kNever && !owner.empty() && call->sent_to != owner;
+    const bool retry =
+        moved || (call->retry_at != kNever && now >= call->retry_at);
     if (retry || now >= call->give_up || IsClosing(now)) {
       due.push_back(call);
     }
--- a/src/front_base.h
+++ b/src/front_base.h
@@ -65,6 +65,8 @@
     Time received;
     Time give_up;  ///< Latest time of the response.
     Time retry_at = kNever;
+    std::string sent_to;  ///< Owner that the newest send was for.
+    uint32_t sends = 0;   ///< Number of sends so far.
     /// Sends without a known outcome; an owner may have executed the call.
     uint32_t unknown_sends = 0;
     bool done = false;
@@ -75,6 +77,7 @@
   bool BuildMessage(const CallPtr& call);
   void Send(const CallPtr& call);
   void SendOverMesh(const CallPtr& call, const std::string& owner);
+  static milliseconds ReplyTimeout(const Call& call);
   void OnOutcome(const CallPtr& call, const CellOutcome& outcome);
   void RetryLater(const CallPtr& call, const char* why);
   void GiveUp(const CallPtr& call, const char* why);
--- a/src/order.cc
+++ b/src/order.cc
@@ -11,6 +11,12 @@
 /// Maximum of waiting rate-limited jobs. They run only on capacity that other
 /// jobs leave unused, so a longer queue would not complete more of them.
 constexpr size_t kMaxRateLimitedWaiting = 40;
+/// Maximum of waiting steps, for each backend server and at least. A server
+/// starts a few steps a second at most.
+constexpr size_t kMaxWaitingPerServer = 2;
+constexpr size_t kMinMaxWaiting = 300;
+/// That maximum grows by this in a half-empty service. Bounds memory.
+constexpr size_t kHalfEmptyFactor = 10;
 /// Size of an account's token bucket, in seconds of its rate.
 constexpr double kBurstSeconds = 2;
 
@@ -66,6 +72,11 @@
   return rate_limited && rate_limited_waiting >= kMaxRateLimitedWaiting;
 }
 
+bool IsBacklogFull(size_t waiting_steps, size_t servers, bool half_empty) {
+  const size_t most = std::max(kMinMaxWaiting, kMaxWaitingPerServer * servers);
+  return waiting_steps >= (half_empty ? kHalfEmptyFactor * most : most);
+}
+
 bool AccountRateLimiter::ExceedsRate(const TeamId& team,
                                      double per_second,
                                      Time now) {
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -58,6 +58,12 @@
 /// @param rate_limited_waiting Number of waiting jobs over their rate limits.
 bool ShouldRejectJob(bool rate_limited, size_t rate_limited_waiting);
 
+/// @return True if new jobs are rejected because so many steps are waiting that
+/// a further one could hardly start in time.
+/// @param half_empty Whether less than half of the servers' capacity is in use;
+/// then most of the waiting steps need particular servers.
+bool IsBacklogFull(size_t waiting_steps, size_t servers, bool half_empty);
+
 /// Rate limiter of accepted jobs: one token bucket for each client account.
 /// Not thread-safe.
 class AccountRateLimiter {
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -9,14 +9,15 @@
 namespace bw {
 namespace {
 
-/// Backend servers usually reply to orders within a few milliseconds.
-constexpr milliseconds kOrderTimeout{700};
 /// Delay before a failed step of a take-over or a failed read is repeated.
 constexpr milliseconds kRetryPause{150};
 constexpr milliseconds kBackendReadInterval{300};
 /// Age of a renewal or an unanswered append beyond which the store, or a part
 /// of it, counts as unavailable. A slow store takes 0.8 s to reply.
 constexpr uint32_t kStoreTimeoutMs = 1100;
+/// New jobs that waited longer than this for the core thread are refused: it
+/// is busy with work accepted earlier.
+constexpr milliseconds kMaxQueueTime{500};
 
 const platform::Partition& BackendPartition() {
   static const platform::Partition out{platform::kBackendTopic, 0};
@@ -25,6 +26,10 @@
 
 }  // namespace
 
+bool IsDeferrable(const proto::CellCall& call) {
+  return static_cast<CellCallKind>(call.kind()) != CellCallKind::kCancel;
+}
+
 Owner::Owner(CellOptions options, size_t max_call_bytes, OwnerParts parts)
     : options_(options), max_call_bytes_(max_call_bytes), parts_(parts) {}
 
@@ -52,6 +57,7 @@
   backends_loaded_ = false;
   reading_backends_ = false;
   advice_pool_ = AdvicePool();
+  order_timeout_ = OrderTimeout();
   CellOptions options = options_;
   options.fencing_token = epoch_;
   options.wall_ms = wall_.Read(gained_at_);
@@ -257,7 +263,15 @@
   return IsActive() ? cell_->Count() : Cell::Counts{};
 }
 
-void Owner::Handle(const proto::CellCall& call, CellDone done) {
+void Owner::OnUnexpectedError() {
+  if (cell_) {
+    parts_.membership->Resign();
+  }
+}
+
+void Owner::Handle(const proto::CellCall& call,
+                   Duration queued,
+                   CellDone done) {
   if (!IsActive() || !parts_.membership->MayAct()) {
     CellOutcome out;
     out.status = CellStatus::kNotOwner;
@@ -270,6 +284,10 @@
   const TeamId team(call.team());
   switch (static_cast<CellCallKind>(call.kind())) {
     case CellCallKind::kSubmit:
+      if (queued > kMaxQueueTime && !cell_->Knows(job)) {
+        done(cell_->RefuseOverload(job, "the owner is busy"));
+        return;
+      }
       cell_->Submit(job, team, QueueId(call.queue()), call.body(), now,
                     std::move(done));
       return;
@@ -291,24 +309,32 @@
   done(out);
 }
 
-void Owner::Start(const BackendEntry& to, platform::StartOrder order) {
+void Owner::Start(const BackendEntry& to,
+                  platform::StartOrder order,
+                  bool repeated) {
   const RunRef run = order.run;
   const Time sent = BootClock::now();
+  const milliseconds timeout =
+      repeated ? order_timeout_.Final() : order_timeout_.First();
   parts_.metrics->Count("bw_orders_total", R"(kind="start")");
   parts_.http->Send(
-      platform::MakeStartCall(to, order, kOrderTimeout),
+      platform::MakeStartCall(to, order, timeout),
       [membership = parts_.membership] { return membership->MayAct(); },
       BindToTenure(
           [this, id = to.id, run, sent](const net::HttpResult& result) {
+            const Time now = BootClock::now();
+            if (result.delivery == net::DeliveryStatus::kResponded) {
+              order_timeout_.OnResponse(now - sent);
+            }
             cell_->OnStartResponse(id, run, platform::ParseOrderResult(result),
-                                   sent, BootClock::now());
+                                   sent, now);
           }));
 }
 
 void Owner::Stop(const BackendEntry& to, const RunRef& run) {
   parts_.metrics->Count("bw_orders_total", R"(kind="stop")");
   parts_.http->Send(
-      platform::MakeStopCall(to, run, epoch_, kOrderTimeout), {},
+      platform::MakeStopCall(to, run, epoch_, order_timeout_.Final()), {},
       BindToTenure([this, id = to.id, run](const net::HttpResult& result) {
         cell_->OnStopResponse(id, run, platform::ParseOrderResult(result),
                               BootClock::now());
@@ -319,7 +345,8 @@
   const Time sent = BootClock::now();
   parts_.metrics->Count("bw_orders_total", R"(kind="hold")");
   const milliseconds timeout =
-      kOrderTimeout + milliseconds(static_cast<int64_t>(request.wait_ms));
+      order_timeout_.Final() +
+      milliseconds(static_cast<int64_t>(request.wait_ms));
   parts_.http->Send(
       platform::MakePollCall(to, request, timeout), {},
       BindToTenure([this, id = to.id, sent](const net::HttpResult& result) {
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -15,6 +15,7 @@
 #include "membership_base.h"
 #include "metric_base.h"
 #include "net/mesh.h"
+#include "order_timeout_base.h"
 #include "record_log_base.h"
 #include "wall_clock_base.h"
 
@@ -29,6 +30,10 @@
   kCount = 4,
 };
 
+/// @return True for calls that wait until the owner has handled what belongs to
+/// work in progress.
+bool IsDeferrable(const proto::CellCall& call);
+
 /// The components that an owner uses.
 struct OwnerParts {
   platform::Store* store = nullptr;
@@ -57,7 +62,12 @@
 
   /// Handles a client's call. `done` runs at most once, and never if the cell
   /// is lost before the outcome is known.
-  void Handle(const proto::CellCall& call, CellDone done);
+  /// @param queued How long the call waited for this process.
+  void Handle(const proto::CellCall& call, Duration queued, CellDone done);
+
+  /// Gives the cell up after an exception, as its state may be inconsistent.
+  /// The next owner restores it from the stored records.
+  void OnUnexpectedError();
 
   void Tick(Time now);
   /// Places tasks and flushes records; runs when the core thread's queue is
@@ -73,7 +83,9 @@
   }
 
  private:
-  void Start(const BackendEntry& to, platform::StartOrder order) override;
+  void Start(const BackendEntry& to,
+             platform::StartOrder order,
+             bool repeated) override;
   void Stop(const BackendEntry& to, const RunRef& run) override;
   void Poll(const BackendEntry& to, platform::PollRequest request) override;
   bool QueryAdvice(const StepRef& step,
@@ -130,6 +142,7 @@
   std::vector<std::string> listed_backends_;
   bool first_backend_page_ = true;
   AdvicePool advice_pool_;
+  OrderTimeout order_timeout_;
 };
 
 }  // namespace bw
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -13,6 +13,8 @@
      "Share of its processor that this instance may use."},
     {"instance", "cpu_cores", SettingType::kReal, "1", 0, 1024,
      "Speed of this instance's processor, in cores."},
+    {"instance", "max_fds", SettingType::kInt, "4096", 256, 1048576,
+     "File descriptors that this instance may use."},
     {"listen", "front", SettingType::kAddress, nullptr, 0, 0,
      "Listen address for callers."},
     {"listen", "ready", SettingType::kAddress, nullptr, 0, 0,
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -231,6 +231,106 @@
   CHECK_EQUAL(1, it.Running(First(kJob)));
 }
 
+// A backend server starts a gang's member, but its answer is lost. The gang was
+// stopped and started again from the beginning.
+TEST(Cell, StartWhoseAnswerIsLostIsNeitherStoppedNorRunAgain) {
+  CellHarness it(2);
+  it.backends.begin()->second.lost_answers = 1;
+  it.Submit(kJob, CellHarness::Tasks(4, 4000, R"(,"gang":true)"));
+  it.Advance(1000);
+  for (uint32_t n = 0; n < 4; ++n) {
+    CHECK_EQUAL(1, it.Running(First(kJob, n)));
+    CHECK_EQUAL(1U, it.Find(First(kJob, n))->second.number);
+  }
+  CHECK(it.stop_log.empty());
+  CHECK_EQUAL(5U, it.start_log.size());
+}
+
+// The task ends before the order without an answer is repeated.
+TEST(Cell, RunThatEndsBeforeItsStartIsConfirmedIsNotRunAgain) {
+  CellHarness it(1);
+  FakeBackend& backend = it.backends.begin()->second;
+  it.port.on_start = [&](const FakeCellPort::SentStart& sent) {
+    if (backend.running.contains(sent.order.run)) {
+      backend.End(sent.order.run, RunEnd::kDone);
+    }
+  };
+  backend.lost_answers = 1;
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  it.Advance(500);
+  STRCMP_EQUAL("completed", it.State(kJob).c_str());
+  for (const auto& sent : it.start_log) {
+    CHECK_EQUAL(1U, sent.order.run.number);
+  }
+}
+
+// The owner is so busy that a report waits in its queues for longer than the
+// leases last. The run it tells of was started again.
+TEST(Cell, ReportThatIsProcessedLateIsNotTakenForSilence) {
+  CellHarness it(2);
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  const auto run = it.Find(First(kJob));
+  FakeBackend& backend = it.backends.at(run->first);
+  backend.holds_polls = true;
+  it.Advance(200);
+  backend.End(run->second, RunEnd::kDone);
+  it.Advance(9000);
+  CHECK_EQUAL(1U, it.start_log.size());
+  backend.holds_polls = false;
+  const auto held = it.held_reports;
+  CHECK(!held.empty());
+  for (const auto& report : held) {
+    it.cell->OnPollResponse(report.first, report.second, it.now, it.now);
+  }
+  it.Advance(500);
+  STRCMP_EQUAL("completed", it.State(kJob).c_str());
+  CHECK_EQUAL(1U, it.start_log.size());
+}
+
+// An idle backend server restarts under its name. Its entry in the store is
+// older than the next start order.
+TEST(Cell, RunStartedSinceAnUnnoticedRestartIsNotStartedAgain) {
+  CellHarness it(2);
+  it.Submit(kOther, CellHarness::Tasks(2, 8000));
+  for (auto& backend : it.backends) {
+    const RunRef run = backend.second.running.begin()->first;
+    backend.second.End(run, RunEnd::kDone);
+  }
+  it.Advance(3000);
+  for (auto& backend : it.backends) {
+    backend.second.Restart();
+  }
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  it.Advance(1000);
+  CHECK_EQUAL(1, it.Running(First(kJob)));
+  CHECK_EQUAL(1U, it.Find(First(kJob))->second.number);
+}
+
+// As above; the run ends before the new incarnation is polled. The former one's
+// ends had higher numbers.
+TEST(Cell, EndSinceAnUnnoticedRestartIsNotAcknowledgedUnseen) {
+  CellHarness it(1);
+  it.Submit(kOther, CellHarness::Tasks(4, 1000));
+  FakeBackend& backend = it.backends.begin()->second;
+  while (!backend.running.empty()) {
+    const RunRef run = backend.running.begin()->first;
+    backend.End(run, RunEnd::kDone);
+  }
+  it.Advance(3000);
+  backend.Restart();
+  it.cell->Submit(JobId(kJob), TeamId("t0"), QueueId("q"),
+                  CellHarness::Tasks(1, 1000), it.now,
+                  [](const CellOutcome&) {});
+  it.now += milliseconds(20);  // Time of the next pass.
+  it.DeliverAll();
+  CHECK_EQUAL(1U, backend.running.size());
+  const RunRef run = backend.running.begin()->first;
+  backend.End(run, RunEnd::kDone);
+  it.Advance(1000);
+  STRCMP_EQUAL("completed", it.State(kJob).c_str());
+  CHECK_EQUAL(1U, it.start_log.back().order.run.number);
+}
+
 TEST(Cell, CrashedBackendServerLosesItsRunsAtOnce) {
   CellHarness it(2);
   it.Submit(kJob, CellHarness::Tasks(1, 1000));
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -51,6 +51,17 @@
 
 TEST_GROUP(Order){};
 
+// A load above what the owner can place: everything was accepted and nothing
+// ran in time.
+TEST(Order, NewJobsAreRejectedBeyondABacklogThatGrowsWithTheServers) {
+  CHECK(!IsBacklogFull(200, 48, false));
+  CHECK(IsBacklogFull(500, 48, false));
+  CHECK(!IsBacklogFull(500, 48, true));
+  CHECK(IsBacklogFull(50'000, 48, true));
+  CHECK(!IsBacklogFull(500, 540, false));
+  CHECK(IsBacklogFull(2000, 540, false));
+}
+
 // Load: a burst of short urgent work in a full cell.
 TEST(Order, UrgentWorkComesFirst) {
   CHECK(ComesBefore(Waiting(0, 1000, 600), Waiting(1, 1000, 600)));
--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -22,6 +22,8 @@
   uint64_t lease_end_ms = 0;
   uint64_t last_end = 0;
   bool reachable = true;
+  bool holds_polls = false;  ///< Polls are executed but not answered yet.
+  int lost_answers = 0;      ///< So many starts are executed but not answered.
   std::set<RunRef> idle_runs;             ///< Runs that use no processor time.
   std::map<RunRef, std::string> running;  ///< Latest checkpoint of each run.
   std::map<RunRef, uint64_t> stopped;     ///< Runs that may not start again.
@@ -215,6 +217,10 @@
       OrderResult result = OrderResult::kUnknown;
       if (backend.reachable) {
         result = backend.Start(it.order);
+        if (backend.lost_answers > 0) {
+          --backend.lost_answers;
+          result = OrderResult::kUnknown;
+        }
       } else {
         unanswered_starts.push_back(it);
       }
@@ -237,6 +243,10 @@
       if (backend.reachable) {
         report = backend.Poll(it.request);
       }
+      if (backend.holds_polls) {
+        held_reports.emplace_back(it.backend, report);
+        continue;
+      }
       cell->OnPollResponse(it.backend, report, now, now);
     }
   }
@@ -280,6 +290,7 @@
   /// Starts sent to unreachable servers.
   std::vector<FakeCellPort::SentStart> unanswered_starts;
   std::vector<std::pair<BackendId, RunRef>> stop_log;
+  std::vector<std::pair<BackendId, BackendReport>> held_reports;
 };
 
 }  // namespace bw::test
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -35,8 +35,13 @@
     std::function<void()> done;
   };
 
-  void Start(const BackendEntry& to, platform::StartOrder order) override {
+  void Start(const BackendEntry& to,
+             platform::StartOrder order,
+             bool) override {
     starts.push_back({to.id, std::move(order)});
+    if (on_start) {
+      on_start(starts.back());
+    }
   }
   void Stop(const BackendEntry& to, const RunRef& run) override {
     stops.emplace_back(to.id, run);
@@ -95,6 +100,8 @@
   bool store_available = true;
   bool accepts_queries = true;
   bool fenced = false;
+  /// Called before a start order is delivered.
+  std::function<void(const SentStart&)> on_start;
   std::function<void(const AdviceQuery&)> on_advice_query;
   std::vector<SentStart> starts;
   std::vector<std::pair<BackendId, RunRef>> stops;
