Feature: [Advice] Wide gangs ask several instances at once and for room, not for size

Cause: a gang counted what servers could hold when empty, so it asked about a few dozen servers that were full, and asked one query of 390 ms and more after the other, through one of 97 instances. Room was reserved for three gangs at a time, whatever the fleet.

Change: where one in eight instances is more than one, a gang asks several instances at the same time, each about as many servers as half of a query's base duration allows, until the servers with room now suffice, or those of a full fleet could hold it twice. A reservation for each 64 servers, at least three as before.

Tests, failing before: Advice.WideGangInALargeFleetAsksForRoomInSeveralQueriesAtOnce, Advice.WideGangInAFullFleetAsksAheadForSomeServers.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -16,6 +16,14 @@
 constexpr double kGangRenewFraction = 0.5;
 /// Maximum number of servers in one query.
 constexpr size_t kMaxListed = 60;
+/// With several queries at once, each lists servers for at most this fraction
+/// of its base duration.
+constexpr double kMaxListFraction = 0.5;
+/// One step may occupy one in this many instances.
+constexpr size_t kInstancesPerQuery = 8;
+/// A gang without room asks ahead for servers that could hold this many times
+/// its tasks when empty, to have a choice of where room appears first.
+constexpr double kAheadFactor = 2;
 /// A query lists more servers than needed while they add at most this fraction
 /// to its base duration, as any of them may have room first.
 constexpr double kMaxExtraFraction = 0.35;
@@ -35,8 +43,28 @@
 /// than this.
 constexpr milliseconds kUnresponsivePenalty{30};
 
+/// @return True if the step asks for servers with room for all its tasks now.
+bool AsksForRoom(const AdviceNeed& need) {
+  return need.gang && need.max_queries > 1;
+}
+
+/// @return Maximum number of servers in one of the queries.
+size_t MaxPerQuery(const AdviceNeed& need) {
+  const AdvicePolicy& policy = need.policy;
+  if (need.max_queries <= 1 || policy.query_ms_per_server <= 0) {
+    return kMaxListed;
+  }
+  const double fit =
+      policy.query_ms * kMaxListFraction / policy.query_ms_per_server;
+  return static_cast<size_t>(
+      std::clamp(fit, 1.0, static_cast<double>(kMaxListed)));
+}
+
 /// @return Slots that the server is expected to offer.
 uint32_t SlotsOf(const AdviceCandidate& it, const AdviceNeed& need) {
+  if (AsksForRoom(need)) {
+    return it.free_slots;
+  }
   const bool ahead = need.gang || IsSlow(need.policy);
   return it.free_slots > 0 || !ahead ? it.free_slots : it.total_slots;
 }
@@ -53,14 +81,16 @@
   const double slots_needed =
       need.count * (need.gang ? kSlotsPerGangTask : kSlotsPerTask);
   double admitted = 0;
-  double known = 0;       // Slots on servers admitted now or before.
-  double known_free = 0;  // Slots of `known` that are free now.
+  double known = 0;        // Slots on servers admitted now or before.
+  double known_free = 0;   // Slots of `known` that are free now.
+  double known_total = 0;  // Slots of `known` when the servers are empty.
   std::vector<uint32_t> order;
   for (uint32_t n = 0; n < candidates.size(); ++n) {
     const AdviceCandidate& it = candidates[n];
     if (it.has_ticket || it.admitted_before) {
       known += SlotsOf(it, need);
       known_free += it.free_slots;
+      known_total += it.total_slots;
     }
     if (it.has_ticket) {
       admitted += SlotsOf(it, need);
@@ -95,26 +125,37 @@
     return key(a) < key(b);
   });
   double expected = renew ? admitted : known;
+  double expected_total = known_total;
+  out.per_query = MaxPerQuery(need);
   for (uint32_t n : order) {
-    const double listed_ms = need.policy.query_ms_per_server *
-                             static_cast<double>(out.servers.size());
+    const AdviceCandidate& it = candidates[n];
+    const size_t listed = std::min(out.servers.size(), out.per_query);
     const bool expensive =
-        listed_ms >= need.policy.query_ms * kMaxExtraFraction;
-    if ((expected >= slots_needed && expensive) ||
-        out.servers.size() >= kMaxListed) {
+        need.policy.query_ms_per_server * static_cast<double>(listed) >=
+        need.policy.query_ms * kMaxExtraFraction;
+    const bool suffices = expected >= slots_needed ||
+                          (AsksForRoom(need) && it.free_slots == 0 &&
+                           expected_total >= slots_needed * kAheadFactor);
+    if ((suffices && expensive) ||
+        out.servers.size() >= out.per_query * need.max_queries) {
       break;
     }
-    const double slots = SlotsOf(candidates[n], need);
-    expected +=
-        candidates[n].admitted_before ? slots : slots * need.admit_ratio;
+    const double ratio = it.admitted_before ? 1 : need.admit_ratio;
+    expected += SlotsOf(it, need) * ratio;
+    expected_total += it.admitted_before ? 0 : it.total_slots * ratio;
     out.servers.push_back(n);
   }
   out.expected = milliseconds(static_cast<int64_t>(
-      need.policy.query_ms + need.policy.query_ms_per_server *
-                                 static_cast<double>(out.servers.size())));
+      need.policy.query_ms +
+      need.policy.query_ms_per_server *
+          static_cast<double>(std::min(out.servers.size(), out.per_query))));
   return out;
 }
 
+size_t MaxQueriesAtOnce(size_t instances) {
+  return std::max<size_t>(1, instances / kInstancesPerQuery);
+}
+
 size_t ChooseChannel(std::span<const AdviceChannel> channels,
                      milliseconds expected,
                      bool urgent,
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -27,21 +27,30 @@
   bool gang = false;
   AdvicePolicy policy;
   double admit_ratio = 0.5;  ///< Expected share of listed servers admitted.
+  /// Queries that may be sent at the same time, by different instances.
+  size_t max_queries = 1;
 };
 
 /// Result of ChooseServersToQuery.
 struct AdviceChoice {
   bool enough = false;            ///< Known servers suffice without a query.
   std::vector<uint32_t> servers;  ///< Candidate indices; empty: no query.
-  milliseconds expected{0};       ///< Expected duration of the query.
+  size_t per_query = 0;           ///< Most servers in one query.
+  milliseconds expected{0};       ///< Expected duration of the longest query.
 };
 
+/// @return Number of queries that one step may send at the same time.
+/// @param instances Number of instances that send queries.
+size_t MaxQueriesAtOnce(size_t instances);
+
 /// @return True if queries are so slow that they are sent before there is room
 /// for the tasks.
 bool IsSlow(const AdvicePolicy& policy);
 
-/// Chooses the servers to list in a query: those with room first, as many as
-/// are expected to suffice, and more while they add little to its duration.
+/// Chooses the servers to list in queries: those with room first, as many as
+/// are expected to suffice, and more while they add little to their duration.
+/// With several queries at once a gang asks for as many servers as have room
+/// for it now, not only as could hold it when empty.
 AdviceChoice ChooseServersToQuery(std::span<const AdviceCandidate> candidates,
                                   const AdviceNeed& need);
 
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -25,7 +25,7 @@
                           const Step& step,
                           bool urgent) {
   const auto& busy = pass.busy_queues[urgent ? 1 : 0];
-  return !step.advice.query_in_flight &&
+  return step.advice.queries_in_flight == 0 &&
          step.advice.next_query_at <= pass.now &&
          std::find(busy.begin(), busy.end(), job.queue) == busy.end();
 }
@@ -59,7 +59,7 @@
                        bool urgent) {
   if (!MayQueryAdvice(*pass, *job, *step, urgent)) {
     step->wait_reason =
-        step->advice.query_in_flight ? "advice" : "advice service busy";
+        step->advice.queries_in_flight > 0 ? "advice" : "advice service busy";
     return;
   }
   AdviceState& advice = step->advice;
@@ -86,29 +86,36 @@
   const double share =
       admitted_share_.try_emplace(job->queue, kInitialAdmittedShare)
           .first->second;
-  const AdviceChoice choice =
-      ChooseServersToQuery(candidates, {need.count, need.gang, policy, share});
+  const AdviceChoice choice = ChooseServersToQuery(
+      candidates, {need.count, need.gang, policy, share,
+                   MaxQueriesAtOnce(port_->CountAdviceInstances())});
   if (choice.servers.empty()) {
     step->wait_reason = choice.enough ? "room on admitted servers"
                                       : "no further server to query about";
     advice.next_query_at = pass->now + kRecheckInterval;
     return;
   }
+  advice.queried_at = pass->now;
   std::vector<BackendId> names;
   for (uint32_t n : choice.servers) {
     names.push_back(pass->servers[indices[n]]->entry.id);
-  }
-  advice.query_in_flight = true;  // The response may arrive within the call.
-  advice.queried_at = pass->now;
-  if (port_->QueryAdvice(ref, names, choice.expected, urgent)) {
+    const bool last = n == choice.servers.back();
+    if (names.size() < choice.per_query && !last) {
+      continue;
+    }
+    ++advice.queries_in_flight;  // The response may arrive within the call.
+    if (!port_->QueryAdvice(ref, names, choice.expected, urgent)) {
+      --advice.queries_in_flight;
+      pass->busy_queues[urgent ? 1 : 0].push_back(job->queue);
+      ++counters_.advice_busy;
+      break;
+    }
     ++counters_.advice_queries;
     counters_.advice_query_ms += static_cast<uint64_t>(choice.expected.count());
-  } else {
-    advice.query_in_flight = false;
-    pass->busy_queues[urgent ? 1 : 0].push_back(job->queue);
-    ++counters_.advice_busy;
+    names.clear();
   }
-  step->wait_reason = advice.query_in_flight ? "advice" : "advice service busy";
+  step->wait_reason =
+      advice.queries_in_flight > 0 ? "advice" : "advice service busy";
 }
 
 void Cell::OnAdviceResponse(const StepRef& ref,
@@ -121,7 +128,7 @@
     return;
   }
   AdviceState& advice = step->advice;
-  advice.query_in_flight = false;
+  advice.queries_in_flight -= std::min(advice.queries_in_flight, 1U);
   if (!response.not_sent) {
     advice.next_query_at =
         now + (response.answered ? kMinQueryInterval : 4 * kMinQueryInterval);
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -74,6 +74,8 @@
   /// Cancels a StoreRecords call that was not sent to the store yet. @return
   /// False if the records may already be stored.
   virtual bool CancelUnsent(uint64_t number) = 0;
+  /// @return Number of instances that send advice queries.
+  virtual size_t CountAdviceInstances() const = 0;
   /// Called when a backend server has seen a higher fencing token.
   virtual void OnFenced() = 0;
   /// @return True while the owner is allowed to start tasks.
@@ -267,7 +269,7 @@
   };
   /// What the advice service has reported for a step.
   struct AdviceState {
-    bool query_in_flight = false;
+    uint32_t queries_in_flight = 0;
     Time queried_at = kNever;
     Time next_query_at = kNever;
     /// Servers with a ticket.
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -45,7 +45,10 @@
   std::vector<ServiceCapacity> services;  ///< By number of the service.
   /// Queues whose queries found all instances busy; urgent ones and others.
   std::array<std::vector<QueueId>, 2> busy_queues;
-  uint32_t reservations = 0;  ///< Gangs with reserved room.
+  size_t reservations = 0;  ///< Gangs with reserved room.
+  size_t max_reservations = 0;
+
+  bool MayReserve() const { return reservations < max_reservations; }
 };
 
 }  // namespace bw
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -9,8 +9,10 @@
 namespace bw {
 namespace {
 
-/// Maximum gangs with reservations in one pass.
-constexpr uint32_t kMaxReservations = 3;
+/// Backend servers for each gang with a reservation, and the least maximum of
+/// such gangs: room that is held for many gangs is idle for long.
+constexpr size_t kServersPerReservation = 64;
+constexpr size_t kMinMaxReservations = 3;
 /// A reservation counts as held this long after the pass that made it.
 constexpr milliseconds kReservationTtl{200};
 /// Maximum steps that a pass fails to place, in rank order.
@@ -72,6 +74,8 @@
       room.free = room.free + pass->free.back();
     }
   }
+  pass->max_reservations = std::max(
+      kMinMaxReservations, pass->servers.size() / kServersPerReservation);
   half_empty_.clear();
   for (const auto& it : pass->services) {
     half_empty_.push_back(it.IsHalfEmpty());
@@ -265,7 +269,7 @@
                      const StepNeed& need,
                      bool urgent) const {
   if (!job.policy.advice || MayQueryAdvice(pass, job, step, urgent) ||
-      (need.gang && pass.reservations < kMaxReservations)) {
+      (need.gang && pass.MayReserve())) {
     return true;
   }
   return std::any_of(step.advice.admitted.begin(), step.advice.admitted.end(),
@@ -294,8 +298,7 @@
     QueryAdvice(pass, job, ref, step, need, urgent);
     LimitToTickets(pass, *step, kNever);
   }
-  if (need.gang && pass->reservations < kMaxReservations &&
-      Reserve(pass, need)) {
+  if (need.gang && pass->MayReserve() && Reserve(pass, need)) {
     step->reserved_at = pass->now;
   }
 }
@@ -363,7 +366,7 @@
               {"good", step.advice.admitted.size()},
               {"bad", step.advice.rejected.size()},
               {"breaking", step.tearing_down},
-              {"asking", step.advice.query_in_flight},
+              {"asking", step.advice.queries_in_flight},
               {"waited_ms", AgeMs(step.waiting_since, now)}});
   }
 }
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -103,6 +103,9 @@
   uint64_t StoreRecords(std::vector<std::string> records,
                         std::function<void()> done) override;
   bool CancelUnsent(uint64_t number) override;
+  size_t CountAdviceInstances() const override {
+    return parts_.membership->Members().size();
+  }
   void OnFenced() override;
   bool MayAct() const override;
   bool MayRenew(milliseconds after) const override;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -272,6 +272,49 @@
 
 TEST_GROUP(Advice){};
 
+// 540 servers, a third of them with room for one task of 9 to 15 cores, and 97
+// instances. Wide gangs asked one query after the other for 7 to 28 s, as they
+// counted what servers could hold when empty.
+TEST(Advice, WideGangInALargeFleetAsksForRoomInSeveralQueriesAtOnce) {
+  std::vector<AdviceCandidate> candidates;
+  constexpr uint32_t kServers = 540;
+  for (uint32_t n = 0; n < kServers; ++n) {
+    const bool room = n % 3 == 0;
+    candidates.push_back({room ? 1U : 0U, 3, room ? 9000U : 4000U});
+  }
+  AdviceNeed need;
+  need.count = 20;
+  need.gang = true;
+  need.policy = {390, 5.6, 2000};
+  need.admit_ratio = 0.3;
+  need.max_queries = MaxQueriesAtOnce(97);
+  const auto choice = ChooseServersToQuery(candidates, need);
+  size_t with_room = 0;
+  for (uint32_t n : choice.servers) {
+    with_room += candidates[n].free_slots;
+  }
+  CHECK(static_cast<double>(with_room) * need.admit_ratio >= need.count);
+  CHECK(choice.expected < milliseconds(700));
+  CHECK(choice.servers.size() <= choice.per_query * need.max_queries);
+  need.max_queries = MaxQueriesAtOnce(9);
+  CHECK_EQUAL(1U, need.max_queries);
+  CHECK(ChooseServersToQuery(candidates, need).servers.size() <= 60);
+}
+
+// The cell is full: servers that will have room are asked about, but not all.
+TEST(Advice, WideGangInAFullFleetAsksAheadForSomeServers) {
+  const std::vector<AdviceCandidate> candidates(540, {0, 3, 0});
+  AdviceNeed need;
+  need.count = 20;
+  need.gang = true;
+  need.policy = {390, 5.6, 2000};
+  need.admit_ratio = 0.3;
+  need.max_queries = MaxQueriesAtOnce(97);
+  const size_t asked = ChooseServersToQuery(candidates, need).servers.size();
+  CHECK(asked * 3 * need.admit_ratio >= need.count);
+  CHECK(asked < 200);
+}
+
 namespace {
 
 AdviceNeed QueryNeed(double query_ms,
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -74,6 +74,7 @@
     }
     return false;
   }
+  size_t CountAdviceInstances() const override { return advice_instances; }
   void OnFenced() override { fenced = true; }
   bool MayAct() const override { return may_act; }
   bool MayRenew(milliseconds) const override { return may_act; }
@@ -99,6 +100,7 @@
   bool may_act = true;
   bool store_available = true;
   bool accepts_queries = true;
+  size_t advice_instances = 1;
   bool fenced = false;
   /// Called before a start order is delivered.
   std::function<void(const SentStart&)> on_start;
