Feature: [Advice] Gangs that are next keep their tickets and choose among more servers

Cause: a gang renewed its tickets only once half of its tasks had room; the query takes 0.6 s, and by then others had used the room. It knew servers that could hold it twice when empty, so half of them had to be free at once. Eight gangs had reservations, ten arrive a second.

Ruled out: instances for advice (1,957 s of calls of 97 instances in 65 s).

Change: where several instances may ask, a gang with a reservation renews its tickets before there is room; it asks about servers that could hold it four times; a reservation for each 32 servers.

Test, failing before: Advice.WideGangWithAReservationKeepsItsTickets.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -22,8 +22,8 @@
 /// One step may occupy one in this many instances.
 constexpr size_t kInstancesPerQuery = 8;
 /// A gang without room asks ahead for servers that could hold this many times
-/// its tasks when empty, to have a choice of where room appears first.
-constexpr double kAheadFactor = 2;
+/// its tasks when empty, so that room on a small part of them suffices.
+constexpr double kAheadFactor = 4;
 /// A query lists more servers than needed while they add at most this fraction
 /// to its base duration, as any of them may have room first.
 constexpr double kMaxExtraFraction = 0.35;
@@ -81,9 +81,10 @@
   const double slots_needed =
       need.count * (need.gang ? kSlotsPerGangTask : kSlotsPerTask);
   double admitted = 0;
-  double known = 0;        // Slots on servers admitted now or before.
-  double known_free = 0;   // Slots of `known` that are free now.
-  double known_total = 0;  // Slots of `known` when the servers are empty.
+  double known = 0;           // Slots on servers admitted now or before.
+  double known_free = 0;      // Slots of `known` that are free now.
+  double admitted_total = 0;  // Slots of `admitted` on empty servers.
+  double known_total = 0;     // Slots of `known` on empty servers.
   std::vector<uint32_t> order;
   for (uint32_t n = 0; n < candidates.size(); ++n) {
     const AdviceCandidate& it = candidates[n];
@@ -94,6 +95,7 @@
     }
     if (it.has_ticket) {
       admitted += SlotsOf(it, need);
+      admitted_total += it.total_slots;
     } else if (it.total_slots > 0) {
       order.push_back(n);
     }
@@ -103,7 +105,9 @@
     return out;
   }
   const double min_free_slots = need.gang ? need.count * kGangRenewFraction : 1;
-  const bool renew = known_free >= min_free_slots;
+  // A gang that is next needs its tickets once there is room.
+  const bool keep = AsksForRoom(need) && need.has_reservation;
+  const bool renew = keep || known_free >= min_free_slots;
   if (!renew) {
     // A renewed ticket would expire before there is room.
     out.enough = known >= slots_needed;
@@ -125,7 +129,7 @@
     return key(a) < key(b);
   });
   double expected = renew ? admitted : known;
-  double expected_total = known_total;
+  double expected_total = keep ? admitted_total : known_total;
   out.per_query = MaxPerQuery(need);
   for (uint32_t n : order) {
     const AdviceCandidate& it = candidates[n];
@@ -142,7 +146,7 @@
     }
     const double ratio = it.admitted_before ? 1 : need.admit_ratio;
     expected += SlotsOf(it, need) * ratio;
-    expected_total += it.admitted_before ? 0 : it.total_slots * ratio;
+    expected_total += it.admitted_before && !keep ? 0 : it.total_slots * ratio;
     out.servers.push_back(n);
   }
   out.expected = milliseconds(static_cast<int64_t>(
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -29,6 +29,7 @@
   double admit_ratio = 0.5;  ///< Expected share of listed servers admitted.
   /// Queries that may be sent at the same time, by different instances.
   size_t max_queries = 1;
+  bool has_reservation = false;  ///< Room is reserved for the step.
 };
 
 /// Result of ChooseServersToQuery.
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -88,7 +88,8 @@
           .first->second;
   const AdviceChoice choice = ChooseServersToQuery(
       candidates, {need.count, need.gang, policy, share,
-                   MaxQueriesAtOnce(port_->CountAdviceInstances())});
+                   MaxQueriesAtOnce(port_->CountAdviceInstances()),
+                   HasReservation(*step, pass->now)});
   if (choice.servers.empty()) {
     step->wait_reason = choice.enough ? "room on admitted servers"
                                       : "no further server to query about";
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -429,6 +429,7 @@
     kSkipped,   ///< Nothing could change for it, so it was not examined.
   };
   PlaceResult PlaceStep(Pass* pass, const StepRef& ref, bool urgent);
+  static bool HasReservation(const Step& step, Time now);
   bool MayChange(const Pass& pass,
                  const Job& job,
                  const Step& step,
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -11,10 +11,8 @@
 
 /// Backend servers for each gang with a reservation, and the least maximum of
 /// such gangs: room that is held for many gangs is idle for long.
-constexpr size_t kServersPerReservation = 64;
+constexpr size_t kServersPerReservation = 32;
 constexpr size_t kMinMaxReservations = 3;
-/// A reservation counts as held this long after the pass that made it.
-constexpr milliseconds kReservationTtl{200};
 /// Maximum steps that a pass fails to place, in rank order.
 constexpr uint32_t kMaxUnplaced = 100;
 /// Maximum further failures among lower-ranked steps, tried in the order of
@@ -37,7 +35,7 @@
   out.step = ref.step;
   out.priority = job.policy.priority;
   out.rate_limited = job.rate_limited;
-  out.has_reservation = now - step.reserved_at < kReservationTtl;
+  out.has_reservation = HasReservation(step, now);
   out.remaining_ms = SignedMs(job.occurrences.at(ref.occurrence).remaining_ms);
   const bool timed = job.spec.start_at_ms > 0 || job.spec.repeat_count > 0;
   const auto age =
--- a/src/cell_room.cc
+++ b/src/cell_room.cc
@@ -13,6 +13,8 @@
 /// particular servers wait. There a step heeds reservations for gangs for at
 /// most this long, which is below the 3 s of RULES, "LOST".
 constexpr milliseconds kStarvedAfter{1500};
+/// A reservation counts as held this long after the pass that made it.
+constexpr milliseconds kReservationTtl{200};
 /// How long a step waits for a server of usual speed before it uses one that is
 /// several times slower; about the run time of most tasks.
 constexpr milliseconds kMaxWaitForFastServer{1000};
@@ -193,6 +195,10 @@
   });
 }
 
+bool Cell::HasReservation(const Step& step, Time now) {
+  return now - step.reserved_at < kReservationTtl;
+}
+
 /// Reserves room for a gang against later steps of this pass.
 /// @return False if the gang would not fit even on empty servers.
 bool Cell::Reserve(Pass* pass, const StepNeed& need) {
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -315,6 +315,26 @@
   CHECK(asked < 200);
 }
 
+// Load: a wide gang is next and its tickets expire while room for it is
+// collected; a query takes as long as the room that it found stays free.
+TEST(Advice, WideGangWithAReservationKeepsItsTickets) {
+  const std::vector<AdviceCandidate> full(540, {0, 3, 0, false, true});
+  AdviceNeed need;
+  need.count = 20;
+  need.gang = true;
+  need.policy = {390, 5.6, 2000};
+  need.max_queries = MaxQueriesAtOnce(97);
+  CHECK(ChooseServersToQuery(full, need).servers.empty());
+  need.has_reservation = true;
+  const size_t renewed = ChooseServersToQuery(full, need).servers.size();
+  CHECK(renewed * 3 >= 4 * need.count);
+  CHECK(renewed < full.size() / 2);
+  const std::vector<AdviceCandidate> valid(540, {0, 3, 0, true, true});
+  CHECK(ChooseServersToQuery(valid, need).servers.empty());
+  need.max_queries = 1;
+  CHECK(ChooseServersToQuery(full, need).servers.empty());
+}
+
 namespace {
 
 AdviceNeed QueryNeed(double query_ms,
