Fix: [Membership] Instances that came back from an outage stayed unknown

Evidence, replies to joins logged: those that came back were given no partition of the fleet's group in 23 s, generation unchanged; the others kept 6 or 7 of 8 topics. A group deals each topic by itself, and none of them had more than one partition of any. A partition became free only when another instance was lost (members 64, 67, 71, 82 at those moments).

Ruled out: instances without a connection (all 34 logged store_back at 11 s and joined each 1.5 s), the owner's query (each 2 s).

Change: an instance joins one of 16 topics, by the hash of its name, so it competes with a few others for 24 or more partitions.

Test: Membership.InstancesThatComeBackAreKnownAgain; with the instances joining all topics it and Membership.KnowsMoreInstancesThanATopicHasPartitions fail.

--- a/src/fake/memory_store.h
+++ b/src/fake/memory_store.h
@@ -107,6 +107,12 @@
         response.partitions.push_back({member.topics.front(), 0});
       }
       topics[member.group] = member.topics;
+      for (const auto& it : member.topics) {
+        if (IsKeyed(it)) {
+          continue;
+        }
+        Deal(&group.holders[it], member.member);
+      }
     }
     responses.push_back([done, response] { done(response); });
   }
@@ -129,14 +135,16 @@
       response.status = Status::kRefused;
     } else if (fault_mode == FaultMode::kNone) {
       response.status = Status::kOk;
-      // Each member has a partition while there are enough of them.
       const auto& members = groups[group].members;
       for (const auto& topic : topics[group]) {
-        for (uint32_t n = 0; n < kPartitionsPerTopic; ++n) {
-          if (response.owners.size() < members.size()) {
-            response.owners.push_back(
-                {{topic, n}, members[response.owners.size()]});
-          }
+        if (IsKeyed(topic) && !members.empty()) {
+          response.owners.push_back({{topic, 0}, members.front()});
+        }
+      }
+      for (const auto& [topic, holders] : groups[group].holders) {
+        uint32_t n = 0;
+        for (const auto& it : holders) {
+          response.owners.push_back({{topic, n++}, it});
         }
       }
     }
@@ -149,6 +157,25 @@
     if (std::erase(it.members, member) > 0) {
       ++it.generation;
     }
+    for (auto& topic : it.holders) {
+      std::erase(topic.second, member);
+    }
+  }
+
+  /// @return True for topics with keyed records, which have one partition.
+  static bool IsKeyed(const std::string& topic) {
+    return topic.starts_with("keyed.");
+  }
+
+  /// Gives a member its partition of a topic if one is free. No member has to
+  /// give up the only one that it has of the topic.
+  static void Deal(std::vector<std::string>* holders,
+                   const std::string& member) {
+    const bool has_one =
+        std::find(holders->begin(), holders->end(), member) != holders->end();
+    if (!has_one && holders->size() < kPartitionsPerTopic) {
+      holders->push_back(member);
+    }
   }
 
   /// Delivers the queued responses to all calls made so far.
@@ -170,7 +197,10 @@
 
   struct Group {
     uint64_t generation = 0;
-    std::vector<std::string> members;  ///< The first is assigned partition 0.
+    /// The first is assigned the partition of a keyed topic.
+    std::vector<std::string> members;
+    /// Members with a partition of each other topic.
+    std::map<std::string, std::vector<std::string>> holders;
   };
   struct Producer {
     uint64_t epoch = 0;
--- a/src/fleet.cc
+++ b/src/fleet.cc
@@ -12,6 +12,9 @@
 
 constexpr char kSeparator = '|';
 constexpr uint32_t kMinHandOverFactor = 2;
+/// A group lists only members with a partition, so all topics together need
+/// several times as many partitions as there may be instances.
+constexpr uint64_t kFleetTopics = 16;
 
 /// @return True if `a` should own the cell rather than `b`.
 bool IsPreferredOwner(const FleetMember& a, const FleetMember& b) {
@@ -44,6 +47,11 @@
   return out;
 }
 
+std::string FleetTopicOf(const FleetMember& member) {
+  return fmt::format("bilberrywing-fleet-{}",
+                     StableHash(member.instance) % kFleetTopics);
+}
+
 std::vector<FleetMember> SortedByAddress(std::vector<FleetMember> members) {
   std::sort(members.begin(), members.end(),
             [](const FleetMember& a, const FleetMember& b) {
--- a/src/fleet_func.h
+++ b/src/fleet_func.h
@@ -31,6 +31,11 @@
 /// Inverse of MakeMemberName().
 std::optional<FleetMember> ParseMemberName(const std::string& name);
 
+/// @return The topic of the fleet's group that the instance joins. One each, as
+/// a group deals the partitions of each topic by themselves: an instance that
+/// comes back gets none of a topic in which all others have one.
+std::string FleetTopicOf(const FleetMember& member);
+
 /// Sorts members by address and removes duplicates.
 std::vector<FleetMember> SortedByAddress(std::vector<FleetMember> members);
 
--- a/src/membership.cc
+++ b/src/membership.cc
@@ -13,9 +13,6 @@
 constexpr const char* kCellGroup = "bilberrywing-cell";
 constexpr const char* kCellTopic = "keyed.cell";
 constexpr const char* kFleetGroup = "bilberrywing-fleet";
-/// A group lists only members with a partition, so the fleet group needs as
-/// many partitions as there may be instances.
-constexpr uint32_t kFleetTopics = 8;
 /// Ownership ends here this long before the store lets it expire.
 constexpr milliseconds kOwnershipMargin{250};
 constexpr uint32_t kMaxJoinsInFlight = 3;
@@ -36,13 +33,6 @@
 constexpr milliseconds kFleetJoinInterval{1500};
 constexpr uint32_t kFleetTtlMs = 5000;
 
-std::vector<std::string> FleetTopics() {
-  std::vector<std::string> out;
-  for (uint32_t n = 0; n < kFleetTopics; ++n) {
-    out.push_back(fmt::format("bilberrywing-fleet-{}", n));
-  }
-  return out;
-}
 }  // namespace
 
 const platform::Partition& CellPartition() {
@@ -98,7 +88,10 @@
 
 void Membership::SendFleetJoin(Time now) {
   next_fleet_join_ = now + kFleetJoinInterval;
-  store_->Join({kFleetGroup, fleet_member_, FleetTopics(), kFleetTtlMs,
+  store_->Join({kFleetGroup,
+                fleet_member_,
+                {FleetTopicOf(self_)},
+                kFleetTtlMs,
                 fleet_generation_},
                [this](const platform::JoinResponse& response) {
                  if (response.status == platform::StoreStatus::kOk) {
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -82,6 +82,22 @@
   bool started_ = false;
 };
 
+constexpr const char* kFleet = "bilberrywing-fleet";
+
+FleetMember Instance(const std::string& name, uint32_t millicores) {
+  return {name, name + ":1", millicores, {}};
+}
+
+/// Joins the fleet as another instance does.
+void JoinFleet(fake::MemoryStore* store, const FleetMember& instance) {
+  store->Join({kFleet,
+               MakeMemberName(instance, "1.1"),
+               {FleetTopicOf(instance)},
+               5000,
+               0},
+              [](const platform::JoinResponse&) {});
+}
+
 }  // namespace
 
 TEST_GROUP(Membership){};
@@ -184,10 +200,8 @@
 // of the others. One of those owned the cell and could not keep up.
 TEST(Membership, LargerInstanceIsFirstToJoin) {
   fake::MemoryStore store;
-  auto& fleet = store.groups["bilberrywing-fleet"].members;
   for (int n = 0; n < 22; ++n) {
-    const std::string name = "b" + std::to_string(n);
-    fleet.push_back(name + "|" + name + ":1|1.1|500");
+    JoinFleet(&store, Instance("b" + std::to_string(n), 500));
   }
   Member small(&store, "a", 120);
   small.RunFor(900);
@@ -208,7 +222,7 @@
   Member small(&store, "a", 120);
   small.RunFor(1200);
   CHECK(small.membership->MayAct());
-  store.groups["bilberrywing-fleet"].members.emplace_back("b|b:1|1.1|500");
+  JoinFleet(&store, Instance("b", 500));
   small.hand_over = true;
   for (int n = 0; n < 500 && small.losses == 0; ++n) {
     small.RunFor(20);
@@ -224,7 +238,7 @@
   fake::MemoryStore store;
   Member small(&store, "a", 300);
   small.RunFor(1200);
-  store.groups["bilberrywing-fleet"].members.emplace_back("b|b:1|1.1|500");
+  JoinFleet(&store, Instance("b", 500));
   small.hand_over = true;
   small.RunFor(8500);
   CHECK_EQUAL(0, small.losses);
@@ -255,9 +269,7 @@
   constexpr size_t kInstances = 39;
   fake::MemoryStore store;
   for (size_t n = 1; n < kInstances; ++n) {
-    const std::string name = "i" + std::to_string(n);
-    store.groups["bilberrywing-fleet"].members.push_back(name + "|" + name +
-                                                         ":1|1.1|120");
+    JoinFleet(&store, Instance("i" + std::to_string(n), 120));
   }
   Member it(&store, "a", 500);
   it.RunFor(1200);
@@ -267,6 +279,32 @@
   it.Stop();
 }
 
+// A third of 97 instances lost the store for longer than their membership
+// lasts. They stayed unknown for 35 s, as the others had taken over their
+// partitions and each had at most one of any topic.
+TEST(Membership, InstancesThatComeBackAreKnownAgain) {
+  constexpr size_t kInstances = 97;
+  fake::MemoryStore store;
+  const auto join = [&](size_t from) {
+    for (size_t n = from; n < kInstances; ++n) {
+      JoinFleet(&store, Instance("i" + std::to_string(n), 120));
+    }
+  };
+  join(1);
+  constexpr size_t kLost = 32;
+  for (size_t n = 1; n <= kLost; ++n) {
+    const auto lost = Instance("i" + std::to_string(n), 120);
+    store.Expire(kFleet, MakeMemberName(lost, "1.1"));
+  }
+  join(kLost + 1);
+  join(1);
+  Member it(&store, "a", 500);
+  it.RunFor(1200);
+  it.RunFor(2500);
+  CHECK_EQUAL(kInstances, it.membership->Members().size());
+  it.Stop();
+}
+
 TEST_GROUP(Fleet){};
 
 TEST(Fleet, NameOfAMemberIsReadBack) {
