Codechange: [Advice] Parallel queries only while many instances are idle

Cause, from the log: 75 queries of 570 ms a second for wide gangs, which is all that 43 instances carry; coop-settle's queries fell from 60 to 3 a second. 33 of 97 instances were kept for short queries, of which there were three at a time.

Change: a step occupies at most one in four of the instances that are idle, and falls back to one longer query where few are; one in three instances is kept for short queries up to nine instances, three and one in twelve beyond.

Tests, failing before: Advice.FewIdleInstancesAreNotTakenByOneGang, Advice.ALargeFleetReservesASmallerPartForShortQueries.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -19,8 +19,10 @@
 /// With several queries at once, each lists servers for at most this fraction
 /// of its base duration.
 constexpr double kMaxListFraction = 0.5;
-/// One step may occupy one in this many instances.
+/// One step may occupy one in this many instances, and one in this many of
+/// those that are idle.
 constexpr size_t kInstancesPerQuery = 8;
+constexpr size_t kIdlePerQuery = 4;
 /// A gang without room asks ahead for servers that could hold this many times
 /// its tasks when empty, so that room on a small part of them suffices.
 constexpr double kAheadFactor = 4;
@@ -32,7 +34,10 @@
 constexpr milliseconds kShortQuery{30};
 /// Queries that take longer than this are long.
 constexpr milliseconds kLongQuery{150};
-/// One in this many instances sends no long queries.
+/// Instances that send no long queries: a few for the bursts of short ones and
+/// a part of the fleet, but at most one in this many.
+constexpr size_t kNoLongQueries = 3;
+constexpr size_t kNoLongQueriesPart = 12;
 constexpr size_t kNoLongQueriesOneIn = 3;
 /// One in this many instances is reserved for short queries.
 constexpr size_t kShortQueriesOneIn = 4;
@@ -45,13 +50,35 @@
 
 /// @return True if the step asks for servers with room for all its tasks now.
 bool AsksForRoom(const AdviceNeed& need) {
-  return need.gang && need.max_queries > 1;
+  return need.gang && MaxQueriesAtOnce(need.instances) > 1;
+}
+
+/// @return Number of queries that the step may send now.
+size_t MaxQueries(const AdviceNeed& need) {
+  return std::clamp<size_t>(need.idle_instances / kIdlePerQuery, 1,
+                            MaxQueriesAtOnce(need.instances));
+}
+
+/// @return Number of instances, the first ones, that send long queries.
+size_t CountForLongQueries(size_t instances) {
+  const size_t others =
+      std::min((instances + kNoLongQueriesOneIn - 1) / kNoLongQueriesOneIn,
+               kNoLongQueries + instances / kNoLongQueriesPart);
+  return std::max<size_t>(1, instances - others);
+}
+
+/// @return True if the instance may get a query now.
+bool IsUsable(const AdviceChannel& it, milliseconds backlog, Time now) {
+  const bool overdue = it.overdue_at != kNever && it.overdue_at <= now;
+  const bool unconfirmed_and_pending = !it.responsive && it.pending > 0;
+  return !overdue && !unconfirmed_and_pending && it.avoid_until <= now &&
+         it.busy_until <= now + backlog;
 }
 
 /// @return Maximum number of servers in one of the queries.
-size_t MaxPerQuery(const AdviceNeed& need) {
+size_t MaxPerQuery(const AdviceNeed& need, size_t max_queries) {
   const AdvicePolicy& policy = need.policy;
-  if (need.max_queries <= 1 || policy.query_ms_per_server <= 0) {
+  if (max_queries <= 1 || policy.query_ms_per_server <= 0) {
     return kMaxListed;
   }
   const double fit =
@@ -130,7 +157,8 @@
   });
   double expected = renew ? admitted : known;
   double expected_total = keep ? admitted_total : known_total;
-  out.per_query = MaxPerQuery(need);
+  const size_t max_queries = MaxQueries(need);
+  out.per_query = MaxPerQuery(need, max_queries);
   for (uint32_t n : order) {
     const AdviceCandidate& it = candidates[n];
     const size_t listed = std::min(out.servers.size(), out.per_query);
@@ -141,7 +169,7 @@
                           (AsksForRoom(need) && it.free_slots == 0 &&
                            expected_total >= slots_needed * kAheadFactor);
     if ((suffices && expensive) ||
-        out.servers.size() >= out.per_query * need.max_queries) {
+        out.servers.size() >= out.per_query * max_queries) {
       break;
     }
     const double ratio = it.admitted_before ? 1 : need.admit_ratio;
@@ -160,6 +188,14 @@
   return std::max<size_t>(1, instances / kInstancesPerQuery);
 }
 
+size_t CountIdleChannels(std::span<const AdviceChannel> channels, Time now) {
+  const auto usable = channels.first(
+      std::min(channels.size(), CountForLongQueries(channels.size())));
+  return static_cast<size_t>(std::count_if(
+      usable.begin(), usable.end(),
+      [&](const auto& it) { return IsUsable(it, milliseconds(0), now); }));
+}
+
 size_t ChooseChannel(std::span<const AdviceChannel> channels,
                      milliseconds expected,
                      bool urgent,
@@ -172,8 +208,7 @@
   const bool is_long = expected > kLongQuery;
   size_t usable = n;
   if (is_long) {
-    usable = std::max<size_t>(
-        1, n * (kNoLongQueriesOneIn - 1) / kNoLongQueriesOneIn);
+    usable = CountForLongQueries(n);
   } else if (!is_short && n >= kNoLongQueriesOneIn) {
     usable = n - std::max<size_t>(1, n / kShortQueriesOneIn);
   }
@@ -184,10 +219,7 @@
     // Long queries prefer the first instances, others the last.
     const size_t k = is_long ? i : usable - 1 - i;
     const AdviceChannel& it = channels[k];
-    const bool overdue = it.overdue_at != kNever && it.overdue_at <= now;
-    const bool unconfirmed_and_pending = !it.responsive && it.pending > 0;
-    if (overdue || unconfirmed_and_pending || it.avoid_until > now ||
-        it.busy_until > now + backlog) {
+    if (!IsUsable(it, backlog, now)) {
       continue;
     }
     const auto ready_at = [&](const AdviceChannel& of) {
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -27,8 +27,9 @@
   bool gang = false;
   AdvicePolicy policy;
   double admit_ratio = 0.5;  ///< Expected share of listed servers admitted.
-  /// Queries that may be sent at the same time, by different instances.
-  size_t max_queries = 1;
+  size_t instances = 1;      ///< Instances that send queries.
+  /// Of these, those that could send a long query now.
+  size_t idle_instances = 1;
   bool has_reservation = false;  ///< Room is reserved for the step.
 };
 
@@ -50,8 +51,9 @@
 
 /// Chooses the servers to list in queries: those with room first, as many as
 /// are expected to suffice, and more while they add little to their duration.
-/// With several queries at once a gang asks for as many servers as have room
-/// for it now, not only as could hold it when empty.
+/// In a large fleet a gang asks for as many servers as have room for it now,
+/// not only as could hold it when empty, and while many instances are idle in
+/// several queries at once.
 AdviceChoice ChooseServersToQuery(std::span<const AdviceCandidate> candidates,
                                   const AdviceNeed& need);
 
@@ -71,6 +73,9 @@
 /// Result of ChooseChannel if no instance is available.
 inline constexpr size_t kNoChannel = ~size_t{0};
 
+/// @return Number of instances that could send a long query now.
+size_t CountIdleChannels(std::span<const AdviceChannel> channels, Time now);
+
 /// Chooses the instance that sends a query. Some instances are reserved for
 /// short queries and some for all but long ones, so that a burst of long
 /// queries does not delay short ones. An instance that has not replied yet may
--- a/src/advice_pool.cc
+++ b/src/advice_pool.cc
@@ -20,16 +20,27 @@
 
 }  // namespace
 
+std::vector<AdviceChannel> AdvicePool::ChannelsOf(
+    const std::vector<std::string>& members) const {
+  std::vector<AdviceChannel> out;
+  out.reserve(members.size());
+  for (const auto& it : members) {
+    const auto known = instances_.find(it);
+    out.push_back(known == instances_.end() ? AdviceChannel{} : known->second);
+  }
+  return out;
+}
+
+size_t AdvicePool::CountIdle(const std::vector<std::string>& members,
+                             Time now) const {
+  return CountIdleChannels(ChannelsOf(members), now);
+}
+
 std::string AdvicePool::Acquire(const std::vector<std::string>& members,
                                 milliseconds expected,
                                 bool urgent,
                                 Time now) {
-  std::vector<AdviceChannel> channels;
-  channels.reserve(members.size());
-  for (const auto& it : members) {
-    channels.push_back(instances_[it]);
-  }
-  const size_t n = ChooseChannel(channels, expected, urgent, now);
+  const size_t n = ChooseChannel(ChannelsOf(members), expected, urgent, now);
   if (n == kNoChannel) {
     return {};
   }
--- a/src/advice_pool_base.h
+++ b/src/advice_pool_base.h
@@ -31,6 +31,9 @@
                       bool urgent,
                       Time now);
 
+  /// @return Number of instances that could send a long query now.
+  size_t CountIdle(const std::vector<std::string>& members, Time now) const;
+
   /// @return Time-out of the newest query to `address`.
   /// @pre The last call of Acquire returned `address`.
   milliseconds ResponseTimeout(const std::string& address, Time now) const;
@@ -39,6 +42,9 @@
   void OnQueryEnd(const std::string& address, QueryOutcome outcome, Time now);
 
  private:
+  std::vector<AdviceChannel> ChannelsOf(
+      const std::vector<std::string>& members) const;
+
   std::map<std::string, AdviceChannel> instances_;
 };
 
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -87,9 +87,9 @@
       admitted_share_.try_emplace(job->queue, kInitialAdmittedShare)
           .first->second;
   const AdviceChoice choice = ChooseServersToQuery(
-      candidates, {need.count, need.gang, policy, share,
-                   MaxQueriesAtOnce(port_->CountAdviceInstances()),
-                   HasReservation(*step, pass->now)});
+      candidates,
+      {need.count, need.gang, policy, share, port_->CountAdviceInstances(),
+       port_->CountIdleAdviceInstances(), HasReservation(*step, pass->now)});
   if (choice.servers.empty()) {
     step->wait_reason = choice.enough ? "room on admitted servers"
                                       : "no further server to query about";
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -76,6 +76,8 @@
   virtual bool CancelUnsent(uint64_t number) = 0;
   /// @return Number of instances that send advice queries.
   virtual size_t CountAdviceInstances() const = 0;
+  /// @return Of these, those that could send a long query now.
+  virtual size_t CountIdleAdviceInstances() const = 0;
   /// Called when a backend server has seen a higher fencing token.
   virtual void OnFenced() = 0;
   /// @return True while the owner is allowed to start tasks.
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -106,6 +106,10 @@
   size_t CountAdviceInstances() const override {
     return parts_.membership->Members().size();
   }
+  size_t CountIdleAdviceInstances() const override {
+    return advice_pool_.CountIdle(parts_.membership->Members(),
+                                  BootClock::now());
+  }
   void OnFenced() override;
   bool MayAct() const override;
   bool MayRenew(milliseconds after) const override;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -287,7 +287,7 @@
   need.gang = true;
   need.policy = {390, 5.6, 2000};
   need.admit_ratio = 0.3;
-  need.max_queries = MaxQueriesAtOnce(97);
+  need.instances = need.idle_instances = 97;
   const auto choice = ChooseServersToQuery(candidates, need);
   size_t with_room = 0;
   for (uint32_t n : choice.servers) {
@@ -295,9 +295,9 @@
   }
   CHECK(static_cast<double>(with_room) * need.admit_ratio >= need.count);
   CHECK(choice.expected < milliseconds(700));
-  CHECK(choice.servers.size() <= choice.per_query * need.max_queries);
-  need.max_queries = MaxQueriesAtOnce(9);
-  CHECK_EQUAL(1U, need.max_queries);
+  CHECK(choice.servers.size() <= choice.per_query * MaxQueriesAtOnce(97));
+  need.instances = need.idle_instances = 9;
+  CHECK_EQUAL(1U, MaxQueriesAtOnce(9));
   CHECK(ChooseServersToQuery(candidates, need).servers.size() <= 60);
 }
 
@@ -309,7 +309,7 @@
   need.gang = true;
   need.policy = {390, 5.6, 2000};
   need.admit_ratio = 0.3;
-  need.max_queries = MaxQueriesAtOnce(97);
+  need.instances = need.idle_instances = 97;
   const size_t asked = ChooseServersToQuery(candidates, need).servers.size();
   CHECK(asked * 3 * need.admit_ratio >= need.count);
   CHECK(asked < 200);
@@ -323,7 +323,7 @@
   need.count = 20;
   need.gang = true;
   need.policy = {390, 5.6, 2000};
-  need.max_queries = MaxQueriesAtOnce(97);
+  need.instances = need.idle_instances = 97;
   CHECK(ChooseServersToQuery(full, need).servers.empty());
   need.has_reservation = true;
   const size_t renewed = ChooseServersToQuery(full, need).servers.size();
@@ -331,10 +331,37 @@
   CHECK(renewed < full.size() / 2);
   const std::vector<AdviceCandidate> valid(540, {0, 3, 0, true, true});
   CHECK(ChooseServersToQuery(valid, need).servers.empty());
-  need.max_queries = 1;
+  need.instances = need.idle_instances = 9;
   CHECK(ChooseServersToQuery(full, need).servers.empty());
 }
 
+// Load: after a change of owner all steps ask at once. Wide gangs took all
+// instances that send long queries, so that other steps could not ask at all
+// with half of the cores free.
+TEST(Advice, FewIdleInstancesAreNotTakenByOneGang) {
+  const std::vector<AdviceCandidate> full(540, {0, 3, 0});
+  AdviceNeed need;
+  need.count = 20;
+  need.gang = true;
+  need.policy = {390, 5.6, 2000};
+  need.instances = 97;
+  need.idle_instances = 7;
+  const auto choice = ChooseServersToQuery(full, need);
+  CHECK(choice.servers.size() <= choice.per_query);
+  CHECK(choice.per_query > 50);
+}
+
+// 97 instances kept 33 for short queries, of which three were busy.
+TEST(Advice, ALargeFleetReservesASmallerPartForShortQueries) {
+  std::vector<AdviceChannel> channels(97);
+  CHECK(CountIdleChannels(channels, kStart) >= 80);
+  CHECK(CountIdleChannels(channels, kStart) < 97);
+  channels.resize(9);
+  CHECK_EQUAL(6U, CountIdleChannels(channels, kStart));
+  channels[0].busy_until = kStart + milliseconds(500);
+  CHECK_EQUAL(5U, CountIdleChannels(channels, kStart));
+}
+
 namespace {
 
 AdviceNeed QueryNeed(double query_ms,
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -75,6 +75,7 @@
     return false;
   }
   size_t CountAdviceInstances() const override { return advice_instances; }
+  size_t CountIdleAdviceInstances() const override { return advice_instances; }
   void OnFenced() override { fenced = true; }
   bool MayAct() const override { return may_act; }
   bool MayRenew(milliseconds) const override { return may_act; }
