Fix: [Test] Findings of the linter

A captured structured binding in relay_server.cc, which this clang rejects; a concatenated sample in the list of fuzz_test.cc; FlakyServer's destructor asked an acceptor that its thread may be closing for its address, now kept; a product of 32 bits in decision_test.cc. No check changed.

--- a/src/relay_server.cc
+++ b/src/relay_server.cc
@@ -58,14 +58,16 @@
     flush_posted_ = false;
     outbox.swap(outbox_);
   }
-  for (auto& [to, queued] : outbox) {
-    std::erase_if(queued, [&](const Outgoing& it) { return it.until <= now; });
+  for (auto& it : outbox) {
+    const std::string& to = it.first;
+    auto& queued = it.second;
+    std::erase_if(queued, [&](const Outgoing& of) { return of.until <= now; });
     if (queued.empty()) {
       continue;
     }
     proto::Envelope envelope;
-    for (const auto& it : queued) {
-      *envelope.mutable_relay_results()->add_results() = it.result;
+    for (const auto& of : queued) {
+      *envelope.mutable_relay_results()->add_results() = of.result;
     }
     const auto kept = std::make_shared<std::deque<Outgoing>>(std::move(queued));
     mesh_->SendRequest(
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -327,7 +327,7 @@
   CHECK(ChooseServersToQuery(full, need).servers.empty());
   need.has_reservation = true;
   const size_t renewed = ChooseServersToQuery(full, need).servers.size();
-  CHECK(renewed * 3 >= 4 * need.count);
+  CHECK(renewed * 3 >= 4UL * need.count);
   CHECK(renewed < full.size() / 2);
   const std::vector<AdviceCandidate> valid(540, {0, 3, 0, true, true});
   CHECK(ChooseServersToQuery(valid, need).servers.empty());
--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -243,10 +243,11 @@
 
 TEST(Fuzz, ResponsesOfTheStore) {
   const std::string offsets(16, '\1');
-  const std::vector<std::string> samples = {
-      R"({"offset":5,"end":6,"sequence":2,"reason":"seq"})",
+  const std::string items =
       R"({"items":[{"key":"config","value":"eyJhIjoxfQ==","offset":3}],)"
-      R"("more":true,"end":9})",
+      R"("more":true,"end":9})";
+  const std::vector<std::string> samples = {
+      R"({"offset":5,"end":6,"sequence":2,"reason":"seq"})", items,
       R"({"generation":4,"parts":[["keyed.cell",0,0]]})",
       R"({"parts":[["keyed.cell",0,"front-a-1|10.0.0.1:7420|17.1|500",0]]})",
       offsets + std::string("\0\0\0\5\1kabc", 9)};
--- a/test/http_client_test.cc
+++ b/test/http_client_test.cc
@@ -33,9 +33,9 @@
       : resets_(resets),
         answered_(answered),
         vanishes_(vanishes),
-        acceptor_(io_,
-                  Tcp::endpoint(asio::ip::make_address("127.0.0.1"),
-                                static_cast<uint16_t>(port))) {
+        endpoint_(asio::ip::make_address("127.0.0.1"),
+                  static_cast<uint16_t>(port)),
+        acceptor_(io_, endpoint_) {
     thread_ = std::thread([this] {
       for (;;) {
         std::error_code ec;
@@ -53,12 +53,9 @@
   }
   ~FlakyServer() {
     stop_ = true;
+    Tcp::socket poke(io_);
     std::error_code ec;
-    const auto endpoint = acceptor_.local_endpoint(ec);
-    if (!ec) {
-      Tcp::socket poke(io_);
-      poke.connect(endpoint, ec);
-    }
+    poke.connect(endpoint_, ec);
     thread_.join();
   }
 
@@ -98,6 +95,7 @@
   const bool resets_;
   const int answered_;
   const bool vanishes_;
+  const Tcp::endpoint endpoint_;
   asio::io_context io_;
   Tcp::acceptor acceptor_;
   std::atomic<int> seen_{0};
