Fix: [Cell] An owner short of processor time accepted all and placed nothing

All the while everything was accepted, as the backlog may grow tenfold where less than half of the capacity is in use.

Change: the time is counted from the ranking on, and a pass looks at eight steps of each kind in any case. A new job is refused once the delay that is to be expected exceeds its slack: steps that come before it by the measured rate of placing, the passes it needs, and the round trips of recent orders. While passes get to all steps and orders are answered in time, nothing is refused.

Both tests of Cell fail without the change (30 steps wait for ever; none refused).

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -171,12 +171,6 @@
     done(Refuse(CellStatus::kStoreUnavailable, "store does not answer"));
     return;
   }
-  const uint32_t service = ServiceNumber(policy->service);
-  const bool half_empty = service >= half_empty_.size() || half_empty_[service];
-  if (IsBacklogFull(ready_.Size(), servers_.size(), half_empty)) {
-    done(RefuseOverload(id, "too many steps are waiting"));
-    return;
-  }
   Job job;
   if (platform::ReadBatchSpec(body, &job.spec) != platform::SpecError::kNone) {
     done(Refuse(CellStatus::kMalformed, "job cannot be read"));
@@ -191,6 +185,10 @@
   job.accepted = now;
   job.arrival = ++last_arrival_;
   job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
+  if (const char* reason = OverloadReason(job, now); reason != nullptr) {
+    done(RefuseOverload(id, reason));
+    return;
+  }
   job.rate_limited = IsRateLimited(id, team, now);
   if (ShouldRejectJob(job.rate_limited, ready_.CountRateLimited())) {
     LogEvent(Part::kPlacer, "job_refused",
@@ -202,6 +200,9 @@
     done(Refuse(CellStatus::kOverloaded, "account beyond its rate"));
     return;
   }
+  if (!job.rate_limited) {
+    placing_delay_.OnNewStep(policy->priority);
+  }
   job.waiting_accept.push_back(std::move(done));
   proto::JobRecord record;
   record.set_team(team.value);
@@ -220,6 +221,30 @@
   OpenJob(&added, now);
 }
 
+/// @return Why a new job is rejected, or null if it can be placed in time.
+const char* Cell::OverloadReason(const Job& job, Time now) const {
+  const auto found = service_numbers_.find(job.policy.service);
+  const bool half_empty = found == service_numbers_.end() ||
+                          found->second >= half_empty_.size() ||
+                          half_empty_[found->second];
+  if (IsBacklogFull(ready_.Size(), servers_.size(), half_empty)) {
+    return "too many steps are waiting";
+  }
+  const bool timed = job.spec.start_at_ms > 0 || job.spec.repeat_count > 0;
+  PlacingDelay::Need need;
+  if (job.policy.advice) {
+    // The first pass queries the advice service, the next one places the tasks.
+    ++need.passes;
+    ++need.round_trips;
+  }
+  if (!timed && IsPlacingTooLate(
+                    job.objective, LongestChainMs(job.spec, {}),
+                    placing_delay_.Expected(job.policy.priority, need, now))) {
+    return "it could not be placed in time";
+  }
+  return nullptr;
+}
+
 void Cell::OpenJob(Job* job, Time now) {
   if (job->spec.repeat_count > 0 || job->spec.start_at_ms > 0) {
     scheduled_jobs_.insert(job->id);
@@ -530,9 +555,9 @@
   // While records cannot be stored, placed tasks would occupy resources without
   // being started until their tickets expire.
   if (port_->MayAct() && port_->IsStoreResponsive() && now >= next_pass_) {
-    const Time began = BootClock::now();
+    const Time began = port_->ReadClock();
     Place(now);
-    const Duration took = BootClock::now() - began;
+    const Duration took = port_->ReadClock() - began;
     ++counters_.passes;
     counters_.pass_us += static_cast<uint64_t>(took.count());
     next_pass_ =
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -16,6 +16,7 @@
 #include "cell_type.h"
 #include "fit_func.h"
 #include "order_func.h"
+#include "placing_delay_base.h"
 #include "platform/advice.h"
 #include "platform/backend.h"
 #include "ready_steps_base.h"
@@ -87,6 +88,8 @@
   virtual bool MayRenew(milliseconds after) const = 0;
   /// @return True while ownership renewals and record writes are on time.
   virtual bool IsStoreResponsive() const = 0;
+  /// @return The time by BootClock, which bounds the duration of passes.
+  virtual Time ReadClock() const = 0;
 };
 
 /// Result of a call.
@@ -345,6 +348,7 @@
   void RefuseUnstoredJobs(Time now);
   void RemoveRuns(const JobId& id);
   bool IsRateLimited(const JobId& id, const TeamId& team, Time now);
+  const char* OverloadReason(const Job& job, Time now) const;
   void OnEndStored(const JobId& id, const EndedJob& ended);
   CellOutcome Refuse(CellStatus status, const char* reason) const;
 
@@ -413,6 +417,7 @@
     Time examined_at = kNever;
   };
   void Place(Time now);
+  std::vector<RankedStep> RankWaiting(Time now);
   std::span<const RankedStep> PlaceInOrder(Pass* pass,
                                            std::span<const RankedStep> order,
                                            uint32_t max_unplaced);
@@ -530,6 +535,7 @@
       admitted_share_;  ///< Share of servers that the advice service admits.
   AccountRateLimiter rate_limiter_;
   SpeedMeter speed_meter_;
+  PlacingDelay placing_delay_;
   std::map<JobId, Time>
       rate_limited_at_;  ///< Jobs found over the rate limit recently.
   std::map<std::string, uint32_t> rack_numbers_;
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -189,6 +189,10 @@
     return;
   }
   LiveRun* live = &found->second;
+  if (!live->repeated && result != OrderResult::kUnknown &&
+      result != OrderResult::kNotSent) {
+    placing_delay_.OnRoundTrip(now - sent, now);
+  }
   const bool ended_after_first =
       live->repeated && result == OrderResult::kSuperseded;
   if (result == OrderResult::kDone || ended_after_first) {
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -45,6 +45,10 @@
   std::vector<ServiceCapacity> services;  ///< By number of the service.
   /// Queues whose queries found all instances busy; urgent ones and others.
   std::array<std::vector<QueueId>, 2> busy_queues;
+  bool timed_out = false;  ///< Not all steps were examined, for want of time.
+  size_t placed = 0;       ///< Steps that were placed whole.
+  /// Steps still waiting that can meet their objective, by priority.
+  PlacingDelay::Counts in_time;
   size_t reservations = 0;  ///< Gangs with reserved room.
   size_t max_reservations = 0;
 
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -21,9 +21,20 @@
 /// Retry interval of a step that no listed server could run.
 constexpr milliseconds kImpossiblePause{1000};
 constexpr milliseconds kSpeedCheckInterval{200};
-/// Maximum durations of a pass: of the steps in rank order and of all.
+/// Maximum durations of placing in a pass: of the steps in rank order and of
+/// all.
 constexpr milliseconds kMaxRankedTime{20};
 constexpr milliseconds kMaxPassTime{30};
+/// Steps that are examined in rank order, and of those behind, however long it
+/// takes: a process may be descheduled for longer than a pass may last.
+constexpr uint32_t kMinExamined = 8;
+
+/// @return True if the step is within its account's rate limit and can still
+/// meet its objective.
+bool IsUrgent(const WaitingStep& it) {
+  return !it.rate_limited && DeadlineClassOf(it) == DeadlineClass::kInTime;
+}
+
 }  // namespace
 
 WaitingStep Cell::RankOf(const Job& job,
@@ -91,15 +102,8 @@
   }
 }
 
-void Cell::Place(Time now) {
-  if (ready_.Size() == 0 || servers_.empty()) {
-    return;
-  }
-  Pass pass;
-  pass.now = now;
-  const Time began = BootClock::now();
-  pass.ends_at = began + kMaxRankedTime;
-  OpenPass(&pass);
+/// @return All waiting steps in the scheduling order.
+std::vector<Cell::RankedStep> Cell::RankWaiting(Time now) {
   std::vector<RankedStep> order;
   for (auto it = ready_.All().begin(); it != ready_.All().end();) {
     Job* job = nullptr;
@@ -116,10 +120,26 @@
             [](const RankedStep& a, const RankedStep& b) {
               return ComesBefore(a.rank, b.rank);
             });
-  const auto behind = PlaceInOrder(&pass, order, kMaxUnplaced);
-  if (behind.empty()) {
+  return order;
+}
+
+void Cell::Place(Time now) {
+  if (ready_.Size() == 0 || servers_.empty()) {
+    placing_delay_.OnPass(0, {}, now);
     return;
   }
+  Pass pass;
+  pass.now = now;
+  OpenPass(&pass);
+  const auto order = RankWaiting(now);
+  for (const auto& it : order) {
+    pass.in_time[it.rank.priority] += IsUrgent(it.rank) ? 1 : 0;
+  }
+  // Counted from here: if the time to rank a long backlog counted, it could
+  // use up the pass, and nothing would be placed.
+  const Time began = port_->ReadClock();
+  pass.ends_at = began + kMaxRankedTime;
+  const auto behind = PlaceInOrder(&pass, order, kMaxUnplaced);
   std::vector<RankedStep> oldest(behind.begin(), behind.end());
   std::stable_sort(oldest.begin(), oldest.end(),
                    [](const RankedStep& a, const RankedStep& b) {
@@ -127,6 +147,8 @@
                    });
   pass.ends_at = began + kMaxPassTime;
   PlaceInOrder(&pass, oldest, kMaxUnplacedBehind);
+  placing_delay_.OnPass(
+      pass.placed, pass.timed_out ? pass.in_time : PlacingDelay::Counts{}, now);
 }
 
 /// Places steps until `max_unplaced` of them could not be placed or the pass
@@ -137,6 +159,7 @@
     std::span<const RankedStep> order,
     uint32_t max_unplaced) {
   uint32_t unplaced = 0;
+  uint32_t examined = 0;
   for (size_t n = 0; n < order.size(); ++n) {
     const RankedStep& it = order[n];
     Job* job = nullptr;
@@ -145,13 +168,21 @@
     if (step == nullptr || step->not_before > pass->now) {
       continue;  // Not examined, so it does not count as unplaced.
     }
-    if (unplaced == max_unplaced || BootClock::now() > pass->ends_at) {
+    const bool timed_out =
+        examined >= kMinExamined && port_->ReadClock() > pass->ends_at;
+    if (unplaced == max_unplaced || timed_out) {
+      pass->timed_out = pass->timed_out || timed_out;
       return order.subspan(n);
     }
+    ++examined;
     step->examined_at = pass->now;
-    const bool urgent = !it.rank.rate_limited &&
-                        DeadlineClassOf(it.rank) == DeadlineClass::kInTime;
-    unplaced += PlaceStep(pass, ref, urgent) == PlaceResult::kUnplaced ? 1 : 0;
+    const bool urgent = IsUrgent(it.rank);
+    const PlaceResult result = PlaceStep(pass, ref, urgent);
+    unplaced += result == PlaceResult::kUnplaced ? 1 : 0;
+    if (result == PlaceResult::kPlaced) {
+      ++pass->placed;
+      pass->in_time[it.rank.priority] -= urgent ? 1 : 0;
+    }
   }
   return {};
 }
--- a/src/order.cc
+++ b/src/order.cc
@@ -17,6 +17,8 @@
 constexpr size_t kMinMaxWaiting = 300;
 /// That maximum grows by this in a half-empty service. Bounds memory.
 constexpr size_t kHalfEmptyFactor = 10;
+/// Jobs are not rejected for a shorter expected time until they are placed.
+constexpr milliseconds kMinPlacingDelay{300};
 /// Size of an account's token bucket, in seconds of its rate.
 constexpr double kBurstSeconds = 2;
 
@@ -77,6 +79,14 @@
   return waiting_steps >= (half_empty ? kHalfEmptyFactor * most : most);
 }
 
+bool IsPlacingTooLate(const Objective& objective,
+                      uint64_t chain_ms,
+                      Duration placing_delay) {
+  const milliseconds slack(objective.in_time_ms -
+                           std::min(objective.in_time_ms, chain_ms));
+  return placing_delay > std::max(slack, kMinPlacingDelay);
+}
+
 bool AccountRateLimiter::ExceedsRate(const TeamId& team,
                                      double per_second,
                                      Time now) {
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -480,6 +480,10 @@
   return parts_.membership->MayRenew(after);
 }
 
+Time Owner::ReadClock() const {
+  return BootClock::now();
+}
+
 bool Owner::IsStoreResponsive() const {
   const Time now = BootClock::now();
   return parts_.membership->RenewalAgeMs(now) < kStoreTimeoutMs &&
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -112,6 +112,7 @@
   }
   void OnFenced() override;
   bool MayAct() const override;
+  Time ReadClock() const override;
   bool MayRenew(milliseconds after) const override;
   bool IsStoreResponsive() const override;
 
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -429,6 +429,53 @@
   CHECK_EQUAL(1, it.Running(First(kJob)));
 }
 
+// The time to rank a long backlog used up each pass of an owner short of
+// processor time: nothing was placed any more, also after the load had ended.
+TEST(Cell, PassesOfASlowOwnerPlaceWhatIsWaiting) {
+  constexpr int kServers = 30;
+  CellHarness it(kServers);
+  it.port.clock_step = milliseconds(50);
+  for (int n = 0; n < kServers; ++n) {
+    it.cell->Submit(JobId("job" + std::to_string(n)), TeamId("t0"),
+                    QueueId("q"), CellHarness::Tasks(1, 8000), it.now,
+                    [](const CellOutcome&) {});
+  }
+  it.Advance(15'000);
+  CHECK_EQUAL(0U, it.cell->Count().waiting_steps);
+}
+
+// Everything was accepted, as most of the servers were free.
+TEST(Cell, SlowOwnerAcceptsNoMoreThanItPlacesInTime) {
+  CellHarness it(100);
+  it.port.clock_step = milliseconds(20);
+  size_t accepted = 0;
+  size_t rejected = 0;
+  std::set<uint32_t> retry_after_ms;
+  constexpr int kSeconds = 10;
+  for (int n = 0; n < kSeconds * 50; ++n) {
+    it.cell->Submit(JobId("job" + std::to_string(n)), TeamId("t0"),
+                    QueueId("q"), CellHarness::Tasks(1, 100), it.now,
+                    [&](const CellOutcome& outcome) {
+                      if (outcome.status == CellStatus::kOk) {
+                        ++accepted;
+                        return;
+                      }
+                      CHECK(outcome.status == CellStatus::kOverloaded);
+                      ++rejected;
+                      retry_after_ms.insert(outcome.retry_after_ms);
+                    });
+    it.Advance(20);
+  }
+  CHECK(rejected > 0);
+  CHECK(retry_after_ms.size() > rejected / 2);
+  constexpr int kRecoveryMs = 5000;  // Stated target.
+  it.Advance(kRecoveryMs);
+  CHECK_EQUAL(0U, it.cell->Count().waiting_steps);
+  CHECK_EQUAL(accepted, it.cell->Count().jobs);
+  const auto outcome = it.Submit(kJob, CellHarness::Tasks(1, 100));
+  CHECK(outcome && outcome->status == CellStatus::kOk);
+}
+
 // Jobs accepted before a store outage of several seconds must not occupy
 // resources during it.
 TEST(Cell, NothingIsPlacedWhileRecordsAreNotStored) {
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -7,6 +7,7 @@
 #include "../src/advice_pool_base.h"
 #include "../src/fit_func.h"
 #include "../src/order_func.h"
+#include "../src/placing_delay_base.h"
 #include "../src/platform/backend.h"
 #include "../src/platform/configuration.h"
 #include "../src/platform/ingress.h"
@@ -62,6 +63,53 @@
   CHECK(IsBacklogFull(2000, 540, false));
 }
 
+// Load: jobs arrive twice as fast as the passes of a small owner examine them.
+TEST(Order, NewJobsAreRejectedOnceTheirSlackIsShorterThanTheirDelay) {
+  const Objective objective{3000, 9000};
+  constexpr uint64_t kChainMs = 1000;
+  CHECK(!IsPlacingTooLate(objective, kChainMs, milliseconds(1900)));
+  CHECK(IsPlacingTooLate(objective, kChainMs, milliseconds(2100)));
+  // No slack at all: a short delay is no reason to reject.
+  CHECK(!IsPlacingTooLate(objective, 3000, milliseconds(200)));
+  CHECK(IsPlacingTooLate(objective, 3000, milliseconds(500)));
+}
+
+TEST(Order, DelayFollowsFromTheStepsAheadOnceAPassRanOutOfTime) {
+  PlacingDelay delay;
+  Time now{Duration(0)};
+  delay.OnPass(10, {}, now);
+  CHECK(delay.Expected(0, {0, 0}, now) == Duration(0));
+  // 100 steps a second are placed; 50 of priority 0 and 200 of 2 wait.
+  for (int n = 0; n < 5; ++n) {
+    now += milliseconds(100);
+    delay.OnPass(10, {{0, 50}, {2, 200}}, now);
+  }
+  CHECK(delay.Expected(0, {0, 0}, now) == milliseconds(500));
+  CHECK(delay.Expected(1, {0, 0}, now) == milliseconds(500));
+  CHECK(delay.Expected(2, {0, 0}, now) == milliseconds(2500));
+  CHECK(delay.Expected(0, {2, 0}, now) == milliseconds(700));
+  delay.OnNewStep(0);
+  CHECK(delay.Expected(0, {0, 0}, now) == milliseconds(510));
+  now += milliseconds(100);
+  delay.OnPass(10, {}, now);
+  delay.OnNewStep(0);
+  CHECK(delay.Expected(2, {2, 0}, now) == Duration(0));
+}
+
+// Load: the responses to orders wait for most of a second in the owner's queues
+// while passes get to all steps.
+TEST(Order, DelayIncludesTheRoundTripsOfRecentOrders) {
+  PlacingDelay delay;
+  const Time now{Duration(0)};
+  for (int n = 0; n < 200; ++n) {
+    delay.OnRoundTrip(milliseconds(250), now);
+  }
+  CHECK(delay.Expected(0, {2, 3}, now) > milliseconds(740));
+  CHECK(delay.Expected(0, {2, 3}, now) <= milliseconds(750));
+  // Without any order nobody is delayed.
+  CHECK(delay.Expected(0, {2, 3}, now + milliseconds(1000)) == Duration(0));
+}
+
 // Load: a burst of short urgent work in a full cell.
 TEST(Order, UrgentWorkComesFirst) {
   CHECK(ComesBefore(Waiting(0, 1000, 600), Waiting(1, 1000, 600)));
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -80,6 +80,7 @@
   bool MayAct() const override { return may_act; }
   bool MayRenew(milliseconds) const override { return may_act; }
   bool IsStoreResponsive() const override { return store_available; }
+  Time ReadClock() const override { return clock += clock_step; }
 
   /// Stores all pending batches, as the platform's store would.
   void StorePending() {
@@ -98,6 +99,8 @@
     }
   }
 
+  mutable Time clock{Duration(0)};
+  Duration clock_step{0};  ///< Passes between two readings of the clock.
   bool may_act = true;
   bool store_available = true;
   bool accepts_queries = true;
