Feature: [Front] Instances apply a refusal of the owner to further jobs

Change: a refusal for overload says for how long it applies to all new jobs of the queue (0.5 s); the instance that passed it on refuses such jobs itself until then, with a Retry-After spread in the same way. Jobs that were sent before, state and cancels still go to the owner.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -14,8 +14,10 @@
 
 /// Retry-After of a refusal during a take-over or an outage.
 constexpr uint32_t kRetryAfterMs = 1000;
-/// Refused callers return within this time after that, not all at once.
-constexpr uint32_t kRetrySpreadMs = 2000;
+/// How long fronts refuse new jobs of a queue themselves after a refusal. An
+/// owner that is short of processor time spends as much of it on refusing a job
+/// as on accepting one.
+constexpr uint32_t kRefusalAppliesMs = 500;
 /// A job whose record could not be sent to the store within this time is
 /// refused.
 constexpr milliseconds kStoreTimeout{800};
@@ -135,8 +137,8 @@
             {"waiting_steps", ready_.Size()},
             {"servers", servers_.size()}});
   CellOutcome out = Refuse(CellStatus::kOverloaded, reason);
-  out.retry_after_ms += static_cast<uint32_t>(
-      std::hash<std::string>()(id.value) % kRetrySpreadMs);
+  out.retry_after_ms = SpreadRetryAfterMs(id, kRetryAfterMs);
+  out.applies_ms = kRefusalAppliesMs;
   return out;
 }
 
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -112,6 +112,9 @@
   uint64_t count = 0;
   uint32_t retry_after_ms = 0;
   std::string reason;
+  /// A refusal applies to all new jobs of the queue for this long; 0: it does
+  /// not.
+  uint32_t applies_ms = 0;
 
   bool operator==(const CellOutcome&) const = default;
 };
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -255,6 +255,7 @@
     it->set_count(outcome.count);
     it->set_retry_after_ms(outcome.retry_after_ms);
     it->set_reason(outcome.reason);
+    it->set_applies_ms(outcome.applies_ms);
     reply(out);
   });
 }
--- a/src/front.cc
+++ b/src/front.cc
@@ -53,6 +53,7 @@
   out.count = reply.count();
   out.retry_after_ms = reply.retry_after_ms();
   out.reason = reply.reason();
+  out.applies_ms = reply.applies_ms();
   return out;
 }
 
@@ -93,7 +94,7 @@
     Refuse(call, kUnavailable, "the configuration may be out of date");
     return;
   }
-  if (!BuildMessage(call)) {
+  if (!BuildMessage(call) || RefuseIfOverloaded(call, call->received)) {
     return;
   }
   open_calls_[++last_number_] = call;
@@ -168,6 +169,24 @@
   return false;
 }
 
+/// Refuses a new job if the owner refuses all of its queue for now.
+bool Front::RefuseIfOverloaded(const CallPtr& call, Time now) {
+  if (call->message.kind() != static_cast<uint32_t>(CellCallKind::kSubmit)) {
+    return false;
+  }
+  const std::string* reason =
+      overload_.Find(QueueId(call->message.queue()), now);
+  if (reason == nullptr) {
+    return false;
+  }
+  Respond(call,
+          platform::MakeErrorResponse(
+              kUnavailable, *reason,
+              SpreadRetryAfterMs(JobId(call->message.job()), kRetryAfterMs)),
+          reason->c_str());
+  return true;
+}
+
 void Front::Send(const CallPtr& call) {
   const std::string owner = parts_.membership->OwnerAddress();
   if (owner.empty()) {
@@ -297,6 +316,8 @@
       return;
     case CellStatus::kOverloaded:
     case CellStatus::kStoreUnavailable: {
+      overload_.OnRefusal(QueueId(call->message.queue()), outcome.reason,
+                          milliseconds(outcome.applies_ms), BootClock::now());
       // An earlier send of the same call may have been accepted.
       if (--call->unknown_sends > 0) {
         RetryLater(call, "the store is away");
--- a/src/front_base.h
+++ b/src/front_base.h
@@ -13,6 +13,7 @@
 #include "metric_base.h"
 #include "net/http_type.h"
 #include "net/mesh.h"
+#include "overload_notice_base.h"
 #include "owner_base.h"
 #include "platform/ingress.h"
 
@@ -75,6 +76,7 @@
 
   void Accept(const CallPtr& call);
   bool BuildMessage(const CallPtr& call);
+  bool RefuseIfOverloaded(const CallPtr& call, Time now);
   void Send(const CallPtr& call);
   void SendOverMesh(const CallPtr& call, const std::string& owner);
   static milliseconds ReplyTimeout(const Call& call);
@@ -90,6 +92,7 @@
   FrontOptions options_;
   const FrontParts parts_;
   net::Mesh* mesh_ = nullptr;
+  OverloadNotices overload_;
   std::map<uint64_t, CallPtr> open_calls_;
   uint64_t last_number_ = 0;
   std::atomic<size_t> open_{0};
--- a/src/order.cc
+++ b/src/order.cc
@@ -17,6 +17,8 @@
 constexpr size_t kMinMaxWaiting = 300;
 /// That maximum grows by this in a half-empty service. Bounds memory.
 constexpr size_t kHalfEmptyFactor = 10;
+/// Refused callers return within this time after the least one.
+constexpr uint32_t kRetrySpreadMs = 2000;
 /// Jobs are not rejected for a shorter expected time until they are placed.
 constexpr milliseconds kMinPlacingDelay{300};
 /// Size of an account's token bucket, in seconds of its rate.
@@ -87,6 +89,11 @@
   return placing_delay > std::max(slack, kMinPlacingDelay);
 }
 
+uint32_t SpreadRetryAfterMs(const JobId& job, uint32_t least_ms) {
+  return least_ms + static_cast<uint32_t>(std::hash<std::string>()(job.value) %
+                                          kRetrySpreadMs);
+}
+
 bool AccountRateLimiter::ExceedsRate(const TeamId& team,
                                      double per_second,
                                      Time now) {
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -71,6 +71,10 @@
                       uint64_t chain_ms,
                       Duration placing_delay);
 
+/// @return Retry-After of a refused job: `least_ms` and a part that differs
+/// between jobs, as refused callers must not return all at once.
+uint32_t SpreadRetryAfterMs(const JobId& job, uint32_t least_ms);
+
 /// Rate limiter of accepted jobs: one token bucket for each client account.
 /// Not thread-safe.
 class AccountRateLimiter {
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -3,10 +3,12 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <set>
 
 #include "../src/advice_pool_base.h"
 #include "../src/fit_func.h"
 #include "../src/order_func.h"
+#include "../src/overload_notice_base.h"
 #include "../src/placing_delay_base.h"
 #include "../src/platform/backend.h"
 #include "../src/platform/configuration.h"
@@ -110,6 +112,31 @@
   CHECK(delay.Expected(0, {2, 3}, now + milliseconds(1000)) == Duration(0));
 }
 
+// Load: callers press on beyond what the owner places; each refusal cost it as
+// much as an acceptance.
+TEST(Order, RefusalOfAllNewJobsOfAQueueIsAppliedUntilItEnds) {
+  OverloadNotices notices;
+  const Time now{Duration(0)};
+  const QueueId queue("quick");
+  notices.OnRefusal(queue, "account beyond its rate", milliseconds(0), now);
+  CHECK(notices.Find(queue, now) == nullptr);
+  notices.OnRefusal(queue, "busy", milliseconds(500), now);
+  CHECK(notices.Find(queue, now + milliseconds(499)) != nullptr);
+  CHECK(notices.Find(QueueId("other"), now) == nullptr);
+  CHECK(notices.Find(queue, now + milliseconds(500)) == nullptr);
+}
+
+TEST(Order, RefusedCallersDoNotReturnAllAtOnce) {
+  constexpr uint32_t kLeastMs = 1000;
+  std::set<uint32_t> times;
+  for (int n = 0; n < 100; ++n) {
+    times.insert(
+        SpreadRetryAfterMs(JobId("job" + std::to_string(n)), kLeastMs));
+  }
+  CHECK(*times.begin() >= kLeastMs);
+  CHECK(times.size() > 90);
+}
+
 // Load: a burst of short urgent work in a full cell.
 TEST(Order, UrgentWorkComesFirst) {
   CHECK(ComesBefore(Waiting(0, 1000, 600), Waiting(1, 1000, 600)));
