Fix: [Advice] Tickets ran out on the way from an owner short of processor time

Cause: a task is placed if its ticket is valid for 120 ms more, however long a start takes.

Change: the validity needed follows the delays of recent starts, from 120 ms to 1 s.

Advice.TicketsAreNotUsed... is a test of the estimate; none drives a whole cell whose starts are late.

--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -66,8 +66,8 @@
   const AdvicePolicy& policy = *job->policy.advice;
   const auto ahead = std::chrono::duration<double, std::milli>(
       IsSlow(policy) ? policy.query_ms : 0);
-  const Time renew_at =
-      pass->now + kTicketMargin + std::chrono::duration_cast<Duration>(ahead);
+  const Time renew_at = pass->now + ticket_margin_.ForPlacing() +
+                        std::chrono::duration_cast<Duration>(ahead);
   const auto tickets = TicketStates(*pass, advice, renew_at);
   std::vector<AdviceCandidate> candidates;
   std::vector<uint32_t> indices;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -21,6 +21,7 @@
 #include "platform/backend.h"
 #include "ready_steps_base.h"
 #include "speed_base.h"
+#include "ticket_margin_base.h"
 
 namespace bw {
 
@@ -209,9 +210,10 @@
     RunPhase phase = RunPhase::kStarting;
     Resources need;
     TeamId team;
-    bool job_unknown = false;     ///< Its job and its resources are unknown.
-    bool from_scratch = false;    ///< Started here without a checkpoint.
-    Time start_sent_at = kNever;  ///< kNever: not sent yet.
+    bool job_unknown = false;   ///< Its job and its resources are unknown.
+    bool from_scratch = false;  ///< Started here without a checkpoint.
+    Time placed_at = kNever;
+    Time start_sent_at = kNever;       ///< kNever: not sent yet.
     Time start_confirmed_at = kNever;  ///< kNever: not confirmed to run.
     Time stop_sent_at = kNever;
     Time stop_confirmed_at = kNever;
@@ -539,6 +541,7 @@
   AccountRateLimiter rate_limiter_;
   SpeedMeter speed_meter_;
   PlacingDelay placing_delay_;
+  TicketMargin ticket_margin_;
   std::map<JobId, Time>
       rate_limited_at_;  ///< Jobs found over the rate limit recently.
   std::map<std::string, uint32_t> rack_numbers_;
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -40,7 +40,7 @@
   } else if (job->policy.advice) {
     const auto ticket = step->advice.admitted.find(server->entry.id);
     if (ticket == step->advice.admitted.end() ||
-        ticket->second.until <= now + kTicketMargin / 2) {
+        ticket->second.until <= now + ticket_margin_.ForSending()) {
       why_not = "advice ticket expired";
     }
   }
@@ -189,8 +189,9 @@
     return;
   }
   LiveRun* live = &found->second;
-  if (!live->repeated && result != OrderResult::kUnknown &&
-      result != OrderResult::kNotSent) {
+  if (!live->repeated && live->placed_at != kNever &&
+      result != OrderResult::kUnknown && result != OrderResult::kNotSent) {
+    ticket_margin_.OnResponse(now - live->placed_at);
     placing_delay_.OnRoundTrip(now - sent, now);
   }
   const bool ended_after_first =
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -9,9 +9,6 @@
 
 namespace bw {
 
-/// Minimum remaining validity of a ticket when a task is placed.
-inline constexpr milliseconds kTicketMargin{120};
-
 /// A backend server that did not respond gets no work for this long, or until
 /// it responds.
 inline constexpr milliseconds kSuspectDuration{10'000};
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -269,7 +269,7 @@
   FillCandidates(pass, *job, ref, *step);
   auto candidates = pass->candidates;
   if (job->policy.advice) {
-    LimitToTickets(pass, *step, pass->now + kTicketMargin);
+    LimitToTickets(pass, *step, pass->now + ticket_margin_.ForPlacing());
   }
   const uint32_t placed = StartFitting(pass, job, ref, step, waiting, need);
   if (placed == waiting.size()) {
@@ -301,17 +301,17 @@
       (need.gang && pass.MayReserve())) {
     return true;
   }
-  return std::any_of(step.advice.admitted.begin(), step.advice.admitted.end(),
-                     [&](const auto& it) {
-                       if (it.second.until <= pass.now + kTicketMargin) {
-                         return false;
-                       }
-                       const auto server = servers_.find(it.first);
-                       return server != servers_.end() &&
-                              server->second.pass_index != kNoServer &&
-                              SlotsIn({}, pass.free[server->second.pass_index],
-                                      need) > 0;
-                     });
+  return std::any_of(
+      step.advice.admitted.begin(), step.advice.admitted.end(),
+      [&](const auto& it) {
+        if (it.second.until <= pass.now + ticket_margin_.ForPlacing()) {
+          return false;
+        }
+        const auto server = servers_.find(it.first);
+        return server != servers_.end() &&
+               server->second.pass_index != kNoServer &&
+               SlotsIn({}, pass.free[server->second.pass_index], need) > 0;
+      });
 }
 
 /// Handles a step that does not fit now: queries the advice service about
@@ -351,6 +351,7 @@
   live.team = job->team;
   live.estimate_ms = spec.estimate_ms;
   live.serial = ++last_serial_;
+  live.placed_at = pass->now;
   server->runs[{ref, run}] = live;
   server->used = server->used + OccupiedResources(spec);
   usage_[job->team] = usage_[job->team] + spec.need;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -13,6 +13,7 @@
 #include "../src/platform/backend.h"
 #include "../src/platform/configuration.h"
 #include "../src/platform/ingress.h"
+#include "../src/ticket_margin_base.h"
 #include "../src/wall_clock_base.h"
 
 namespace bw::test {
@@ -347,6 +348,22 @@
 
 TEST_GROUP(Advice){};
 
+// Load: starts that take half a second from placing to the backend server, as
+// the owner is short of processor time. Their tickets ran out on the way.
+TEST(Advice, TicketsAreNotUsedThatExpireBeforeTheStartArrives) {
+  TicketMargin margin;
+  CHECK(margin.ForPlacing() == milliseconds(120));
+  for (int n = 0; n < 100; ++n) {
+    margin.OnResponse(milliseconds(n % 2 == 0 ? 400 : 600));
+  }
+  CHECK(margin.ForPlacing() > milliseconds(600));
+  CHECK(margin.ForPlacing() <= milliseconds(1000));
+  for (int n = 0; n < 200; ++n) {
+    margin.OnResponse(milliseconds(20));
+  }
+  CHECK(margin.ForPlacing() == milliseconds(120));
+}
+
 // 540 servers, a third of them with room for one task of 9 to 15 cores, and 97
 // instances. Wide gangs asked one query after the other for 7 to 28 s, as they
 // counted what servers could hold when empty.
