Fix: [Cell] A short owner accepted patient jobs for longer than it can recover

Cause: a job was refused only if it could not start within its slack, 8 to 11 s for gangs. Steps past their objective were not counted at all, although they have to be placed as well. The rate was also that of the wrong interval: the pause after a long pass counted for the next one, and the first pass out of time set it far too high.

Change: while less than half of the service is in use and passes run out of time, new jobs are refused once all waiting steps take longer than 5 s to place, the stated time to recover. The rate is what a pass placed over the time to the next one, weighted by that time.

Cell.SlowOwnerRecoversFromABurstOfPatientJobs accepts all without the limit, and one step too many without the pass that the last step waits for.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -28,6 +28,10 @@
 /// most of the processor time.
 constexpr int kPauseFactor = 4;
 
+/// While servers are free, new jobs are refused if the waiting steps take
+/// longer than this to place: an owner recovers from any load within this time.
+constexpr milliseconds kMaxBacklogTime{5000};
+
 /// Occurrences of a job that are open at a time; further ones wait.
 constexpr size_t kMaxOpenOccurrences = 200;
 
@@ -232,6 +236,9 @@
   if (IsBacklogFull(ready_.Size(), servers_.size(), half_empty)) {
     return "too many steps are waiting";
   }
+  if (half_empty && placing_delay_.BacklogTime() > kMaxBacklogTime) {
+    return "too many steps are waiting";
+  }
   const bool timed = job.spec.start_at_ms > 0 || job.spec.repeat_count > 0;
   PlacingDelay::Need need;
   if (job.policy.advice) {
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -125,7 +125,7 @@
 
 void Cell::Place(Time now) {
   if (ready_.Size() == 0 || servers_.empty()) {
-    placing_delay_.OnPass(0, {}, now);
+    placing_delay_.OnPass(0, {}, 0, now);
     return;
   }
   Pass pass;
@@ -147,8 +147,11 @@
                    });
   pass.ends_at = began + kMaxPassTime;
   PlaceInOrder(&pass, oldest, kMaxUnplacedBehind);
-  placing_delay_.OnPass(
-      pass.placed, pass.timed_out ? pass.in_time : PlacingDelay::Counts{}, now);
+  if (pass.timed_out) {
+    placing_delay_.OnPass(pass.placed, pass.in_time, ready_.Size(), now);
+  } else {
+    placing_delay_.OnPass(pass.placed, {}, 0, now);
+  }
 }
 
 /// Places steps until `max_unplaced` of them could not be placed or the pass
--- a/src/placing_delay.cc
+++ b/src/placing_delay.cc
@@ -6,8 +6,8 @@
 namespace bw {
 namespace {
 
-/// Weight of the latest pass in the averages.
-constexpr double kRateWeight = 0.2;
+/// Passes of about the last second make up the averages.
+constexpr milliseconds kAverageOver{1000};
 /// The newest round trip counts for 1 / this in the moving average.
 constexpr int kRoundTripDivisor = 16;
 /// Without newer ones the average says nothing after this time, so that work is
@@ -18,30 +18,35 @@
 
 }  // namespace
 
-void PlacingDelay::OnPass(size_t placed, Counts waiting, Time now) {
-  // While passes examine all steps, the rate is that of the arrivals.
-  const bool behind = !waiting_.empty() || !waiting.empty();
-  if (behind && last_pass_ != kNever && now > last_pass_) {
-    const double seconds =
-        std::chrono::duration<double>(now - last_pass_).count();
-    const double latest =
-        std::max(kMinPerSecond, static_cast<double>(placed) / seconds);
-    if (per_second_ > 0) {
-      per_second_ += kRateWeight * (latest - per_second_);
-      interval_ += std::chrono::duration_cast<Duration>(
-          kRateWeight * (now - last_pass_ - interval_));
-    } else {
-      per_second_ = latest;
-      interval_ = now - last_pass_;
-    }
+void PlacingDelay::OnPass(size_t placed,
+                          Counts waiting,
+                          size_t backlog,
+                          Time now) {
+  // A pass is followed by a pause that grows with its duration. While passes
+  // examine all steps, the rate is that of the arrivals.
+  if (backlog_ > 0 && now > last_pass_) {
+    const Duration took = now - last_pass_;
+    const double latest = std::max(
+        kMinPerSecond, static_cast<double>(last_placed_) /
+                           std::chrono::duration<double>(took).count());
+    const double weight =
+        per_second_ > 0
+            ? std::chrono::duration<double>(took) / (took + kAverageOver)
+            : 1;
+    per_second_ += weight * (latest - per_second_);
+    interval_ +=
+        std::chrono::duration_cast<Duration>(weight * (took - interval_));
   }
+  last_placed_ = placed;
   last_pass_ = now;
   waiting_ = std::move(waiting);
+  backlog_ = backlog;
 }
 
 void PlacingDelay::OnNewStep(uint32_t level) {
-  if (!waiting_.empty()) {
+  if (backlog_ > 0) {
     ++waiting_[level];
+    ++backlog_;
   }
 }
 
@@ -57,7 +62,7 @@
   if (now - last_round_trip_ < kRoundTripValidity) {
     out += need.round_trips * round_trip_;
   }
-  if (waiting_.empty() || per_second_ <= 0) {
+  if (backlog_ == 0 || per_second_ <= 0) {
     return out;
   }
   size_t ahead = 0;
@@ -65,9 +70,20 @@
        ++it) {
     ahead += it->second;
   }
-  return out + need.passes * interval_ +
-         std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-             static_cast<double>(ahead) / per_second_));
+  return out + need.passes * interval_ + TimeToPlace(ahead);
+}
+
+Duration PlacingDelay::BacklogTime() const {
+  if (backlog_ == 0 || per_second_ <= 0) {
+    return Duration(0);
+  }
+  return interval_ + TimeToPlace(backlog_);
+}
+
+/// @pre The rate is known.
+Duration PlacingDelay::TimeToPlace(size_t steps) const {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(static_cast<double>(steps) / per_second_));
 }
 
 }  // namespace bw
--- a/src/placing_delay_base.h
+++ b/src/placing_delay_base.h
@@ -22,7 +22,8 @@
   /// @param placed Steps that it placed whole.
   /// @param waiting Steps still waiting that come before later ones of their
   /// level; empty if the pass examined all steps.
-  void OnPass(size_t placed, Counts waiting, Time now);
+  /// @param backlog All steps still waiting; 0 if the pass examined all steps.
+  void OnPass(size_t placed, Counts waiting, size_t backlog, Time now);
   /// Counts a step that arrives between two passes.
   void OnNewStep(uint32_t level);
   /// @param took Time from an order to its response.
@@ -35,12 +36,19 @@
   };
   /// @return Expected delay of a new step.
   Duration Expected(uint32_t level, const Need& need, Time now) const;
+  /// @return Expected time until all waiting steps are placed, if all have
+  /// room; 0 while passes examine all steps.
+  Duration BacklogTime() const;
 
  private:
+  Duration TimeToPlace(size_t steps) const;
+
   Counts waiting_;
+  size_t backlog_ = 0;
   double per_second_ = 0;  ///< Steps placed; 0: unknown.
   Duration interval_{0};   ///< Between two passes.
   Time last_pass_ = kNever;
+  size_t last_placed_ = 0;
   Duration round_trip_{0};
   Time last_round_trip_ = kNever;
 };
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -476,6 +476,28 @@
   CHECK(outcome && outcome->status == CellStatus::kOk);
 }
 
+// Jobs with much time left were accepted until their backlog took an owner
+// short of processor time longer than callers are to wait after a burst.
+TEST(Cell, SlowOwnerRecoversFromABurstOfPatientJobs) {
+  CellHarness it(100);
+  it.config->queues[0].stretch = 30;
+  it.port.clock_step = milliseconds(50);
+  size_t accepted = 0;
+  constexpr int kBurst = 500;
+  for (int n = 0; n < kBurst; ++n) {
+    it.cell->Submit(JobId("job" + std::to_string(n)), TeamId("t0"),
+                    QueueId("q"), CellHarness::Tasks(1, 100), it.now,
+                    [&](const CellOutcome& outcome) {
+                      accepted += outcome.status == CellStatus::kOk ? 1 : 0;
+                    });
+    it.Advance(20);
+  }
+  CHECK(accepted < kBurst);
+  constexpr int kRecoveryMs = 5000;  // Stated target.
+  it.Advance(kRecoveryMs);
+  CHECK_EQUAL(0U, it.cell->Count().waiting_steps);
+}
+
 // Jobs accepted before a store outage of several seconds must not occupy
 // resources during it.
 TEST(Cell, NothingIsPlacedWhileRecordsAreNotStored) {
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -80,23 +80,26 @@
 TEST(Order, DelayFollowsFromTheStepsAheadOnceAPassRanOutOfTime) {
   PlacingDelay delay;
   Time now{Duration(0)};
-  delay.OnPass(10, {}, now);
+  delay.OnPass(10, {}, 0, now);
   CHECK(delay.Expected(0, {0, 0}, now) == Duration(0));
   // 100 steps a second are placed; 50 of priority 0 and 200 of 2 wait.
   for (int n = 0; n < 5; ++n) {
     now += milliseconds(100);
-    delay.OnPass(10, {{0, 50}, {2, 200}}, now);
+    delay.OnPass(10, {{0, 50}, {2, 200}}, 400, now);
   }
   CHECK(delay.Expected(0, {0, 0}, now) == milliseconds(500));
   CHECK(delay.Expected(1, {0, 0}, now) == milliseconds(500));
   CHECK(delay.Expected(2, {0, 0}, now) == milliseconds(2500));
   CHECK(delay.Expected(0, {2, 0}, now) == milliseconds(700));
+  // Steps that miss their objective come after new ones, but are placed too.
+  CHECK(delay.BacklogTime() == milliseconds(4100));
   delay.OnNewStep(0);
   CHECK(delay.Expected(0, {0, 0}, now) == milliseconds(510));
   now += milliseconds(100);
-  delay.OnPass(10, {}, now);
+  delay.OnPass(10, {}, 0, now);
   delay.OnNewStep(0);
   CHECK(delay.Expected(2, {2, 0}, now) == Duration(0));
+  CHECK(delay.BacklogTime() == Duration(0));
 }
 
 // Load: the responses to orders wait for most of a second in the owner's queues
