Fix: [Cell] After a take-over jobs were refused for a delay that did not last

For a second after a change of owner calls are slow and passes run out of time; quick jobs were refused for it that would have been late, which is worth something, or in time after all.

Not told apart: passes and round trips.

Change: a job that can only be late is refused once jobs of its priority have been so for 2 s; one that would end past its cutoff at once.

Cell.JobsAreRefusedForBeingLateOnlyOnceTheDelayLasts fails without it.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -32,6 +32,11 @@
 /// longer than this to place: an owner recovers from any load within this time.
 constexpr milliseconds kMaxBacklogTime{5000};
 
+/// New jobs that would be late are accepted for this long, as after a
+/// take-over: a late response is better than none. If the delay lasts, others
+/// would be late for them.
+constexpr milliseconds kMaxLateTime{2000};
+
 /// Occurrences of a job that are open at a time; further ones wait.
 constexpr size_t kMaxOpenOccurrences = 200;
 
@@ -228,7 +233,7 @@
 }
 
 /// @return Why a new job is rejected, or null if it can be placed in time.
-const char* Cell::OverloadReason(const Job& job, Time now) const {
+const char* Cell::OverloadReason(const Job& job, Time now) {
   const auto found = service_numbers_.find(job.policy.service);
   const bool half_empty = found == service_numbers_.end() ||
                           found->second >= half_empty_.size() ||
@@ -246,12 +251,25 @@
     ++need.passes;
     ++need.round_trips;
   }
-  if (!timed && IsPlacingTooLate(
-                    job.objective, LongestChainMs(job.spec, {}),
-                    placing_delay_.Expected(job.policy.priority, need, now))) {
-    return "it could not be placed in time";
+  if (timed) {
+    return nullptr;
+  }
+  const uint32_t level = job.policy.priority;
+  switch (DeadlineClassAfter(job.objective, LongestChainMs(job.spec, {}),
+                             placing_delay_.Expected(level, need, now))) {
+    case DeadlineClass::kInTime:
+      late_since_.erase(level);
+      return nullptr;
+    case DeadlineClass::kLate:
+      if (now - late_since_.try_emplace(level, now).first->second <
+          kMaxLateTime) {
+        return nullptr;
+      }
+      break;
+    case DeadlineClass::kPastCutoff:
+      break;
   }
-  return nullptr;
+  return "it could not be placed in time";
 }
 
 void Cell::OpenJob(Job* job, Time now) {
--- a/src/order.cc
+++ b/src/order.cc
@@ -19,7 +19,7 @@
 constexpr size_t kHalfEmptyFactor = 10;
 /// Refused callers return within this time after the least one.
 constexpr uint32_t kRetrySpreadMs = 2000;
-/// Jobs are not rejected for a shorter expected time until they are placed.
+/// A shorter expected delay makes no job late.
 constexpr milliseconds kMinPlacingDelay{300};
 /// Size of an account's token bucket, in seconds of its rate.
 constexpr double kBurstSeconds = 2;
@@ -81,12 +81,18 @@
   return waiting_steps >= (half_empty ? kHalfEmptyFactor * most : most);
 }
 
-bool IsPlacingTooLate(const Objective& objective,
-                      uint64_t chain_ms,
-                      Duration placing_delay) {
-  const milliseconds slack(objective.in_time_ms -
-                           std::min(objective.in_time_ms, chain_ms));
-  return placing_delay > std::max(slack, kMinPlacingDelay);
+DeadlineClass DeadlineClassAfter(const Objective& objective,
+                                 uint64_t chain_ms,
+                                 Duration placing_delay) {
+  const auto exceeds = [&](uint64_t limit_ms) {
+    const milliseconds slack(limit_ms - std::min(limit_ms, chain_ms));
+    return placing_delay > std::max(slack, kMinPlacingDelay);
+  };
+  if (!exceeds(objective.in_time_ms)) {
+    return DeadlineClass::kInTime;
+  }
+  return exceeds(objective.cutoff_ms) ? DeadlineClass::kPastCutoff
+                                      : DeadlineClass::kLate;
 }
 
 uint32_t SpreadRetryAfterMs(const JobId& job, uint32_t least_ms) {
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -64,12 +64,11 @@
 /// then most of the waiting steps need particular servers.
 bool IsBacklogFull(size_t waiting_steps, size_t servers, bool half_empty);
 
-/// @return True if a new job is rejected because it would miss its objective:
-/// until a pass examines it, more than its slack goes by.
+/// Deadline class of a new job by the expected delay until it is placed.
 /// @param chain_ms Estimated run time of its longest chain of steps.
-bool IsPlacingTooLate(const Objective& objective,
-                      uint64_t chain_ms,
-                      Duration placing_delay);
+DeadlineClass DeadlineClassAfter(const Objective& objective,
+                                 uint64_t chain_ms,
+                                 Duration placing_delay);
 
 /// @return Retry-After of a refused job: `least_ms` and a part that differs
 /// between jobs, as refused callers must not return all at once.
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -476,6 +476,35 @@
   CHECK(outcome && outcome->status == CellStatus::kOk);
 }
 
+// After a take-over calls are slow for a second. Jobs that would be late for it
+// were refused, although they still ran soon enough to be of use.
+TEST(Cell, JobsAreRefusedForBeingLateOnlyOnceTheDelayLasts) {
+  CellHarness it(30);
+  it.config->queues[0].target_latency_ms = 0;  // Slack: 1 s, 5 s if late.
+  const auto submit = [&](const std::string& name) {
+    return it.Submit(name, CellHarness::Tasks(1, 100));
+  };
+  const auto slow_response = [&](int took_ms) {
+    const auto& start = it.start_log.back();
+    it.cell->OnStartResponse(start.backend, start.order.run, OrderResult::kDone,
+                             it.now - milliseconds(took_ms), it.now);
+  };
+  submit("first");
+  slow_response(20'000);  // Recent round trips: 1.25 s in the mean.
+  const auto late = submit("late");
+  CHECK(late && late->status == CellStatus::kOk);
+  constexpr int kSteps = 4;
+  for (int n = 0; n < kSteps; ++n) {
+    it.Advance(500);
+    slow_response(1250);
+  }
+  const auto later = submit("later");
+  CHECK(later && later->status == CellStatus::kOverloaded);
+  it.Advance(1000);
+  const auto after = submit("after");
+  CHECK(after && after->status == CellStatus::kOk);
+}
+
 // Jobs with much time left were accepted until their backlog took an owner
 // short of processor time longer than callers are to wait after a burst.
 TEST(Cell, SlowOwnerRecoversFromABurstOfPatientJobs) {
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -67,14 +67,19 @@
 }
 
 // Load: jobs arrive twice as fast as the passes of a small owner examine them.
-TEST(Order, NewJobsAreRejectedOnceTheirSlackIsShorterThanTheirDelay) {
+TEST(Order, NewJobsAreLateOnceTheirSlackIsShorterThanTheirDelay) {
   const Objective objective{3000, 9000};
   constexpr uint64_t kChainMs = 1000;
-  CHECK(!IsPlacingTooLate(objective, kChainMs, milliseconds(1900)));
-  CHECK(IsPlacingTooLate(objective, kChainMs, milliseconds(2100)));
-  // No slack at all: a short delay is no reason to reject.
-  CHECK(!IsPlacingTooLate(objective, 3000, milliseconds(200)));
-  CHECK(IsPlacingTooLate(objective, 3000, milliseconds(500)));
+  const auto after = [&](uint64_t chain_ms, int delay_ms) {
+    return DeadlineClassAfter(objective, chain_ms, milliseconds(delay_ms));
+  };
+  CHECK(after(kChainMs, 1900) == DeadlineClass::kInTime);
+  CHECK(after(kChainMs, 2100) == DeadlineClass::kLate);
+  CHECK(after(kChainMs, 7900) == DeadlineClass::kLate);
+  CHECK(after(kChainMs, 8100) == DeadlineClass::kPastCutoff);
+  // No slack at all: a short delay makes no difference.
+  CHECK(after(3000, 200) == DeadlineClass::kInTime);
+  CHECK(after(3000, 500) == DeadlineClass::kLate);
 }
 
 TEST(Order, DelayFollowsFromTheStepsAheadOnceAPassRanOutOfTime) {
