--- a/src/cell.cc
+++ b/src/cell.cc
@@ -36,6 +36,8 @@
 /// take-over: a late response is better than none. If the delay lasts, others
 /// would be late for them.
 constexpr milliseconds kMaxLateTime{2000};
+/// Refusing them makes the next ones be in time: a shorter pause ends no delay.
+constexpr milliseconds kMaxLatePause{5000};
 
 /// Occurrences of a job that are open at a time; further ones wait.
 constexpr size_t kMaxOpenOccurrences = 200;
@@ -232,6 +234,17 @@
   OpenJob(&added, now);
 }
 
+/// Handles a new job that is expected to be late. @return True if such jobs of
+/// its priority have been for long.
+bool Cell::HasBeenLate(uint32_t priority, Time now) {
+  LateSpan& span = late_spans_[priority];
+  if (now - span.last > kMaxLatePause) {
+    span.since = now;
+  }
+  span.last = now;
+  return now - span.since >= kMaxLateTime;
+}
+
 /// @return Why a new job is rejected, or null if it can be placed in time.
 const char* Cell::OverloadReason(const Job& job, Time now) {
   const auto found = service_numbers_.find(job.policy.service);
@@ -254,15 +267,13 @@
   if (timed) {
     return nullptr;
   }
-  const uint32_t level = job.policy.priority;
-  switch (DeadlineClassAfter(job.objective, LongestChainMs(job.spec, {}),
-                             placing_delay_.Expected(level, need, now))) {
+  switch (DeadlineClassAfter(
+      job.objective, LongestChainMs(job.spec, {}),
+      placing_delay_.Expected(job.policy.priority, need, now))) {
     case DeadlineClass::kInTime:
-      late_since_.erase(level);
       return nullptr;
     case DeadlineClass::kLate:
-      if (now - late_since_.try_emplace(level, now).first->second <
-          kMaxLateTime) {
+      if (!HasBeenLate(job.policy.priority, now)) {
         return nullptr;
       }
       break;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -353,6 +353,7 @@
   void RefuseUnstoredJobs(Time now);
   void RemoveRuns(const JobId& id);
   bool IsRateLimited(const JobId& id, const TeamId& team, Time now);
+  bool HasBeenLate(uint32_t priority, Time now);
   const char* OverloadReason(const Job& job, Time now);
   void OnEndStored(const JobId& id, const EndedJob& ended);
   CellOutcome Refuse(CellStatus status, const char* reason) const;
@@ -541,8 +542,12 @@
   AccountRateLimiter rate_limiter_;
   SpeedMeter speed_meter_;
   PlacingDelay placing_delay_;
-  /// By priority: since when new jobs are expected to be late.
-  std::map<uint32_t, Time> late_since_;
+  /// Time in which new jobs were expected to be late.
+  struct LateSpan {
+    Time since = kNever;
+    Time last = kNever;
+  };
+  std::map<uint32_t, LateSpan> late_spans_;  ///< By priority.
   TicketMargin ticket_margin_;
   std::map<JobId, Time>
       rate_limited_at_;  ///< Jobs found over the rate limit recently.
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -503,6 +503,14 @@
   it.Advance(1000);
   const auto after = submit("after");
   CHECK(after && after->status == CellStatus::kOk);
+  // Refusals bring the delay down for a moment only.
+  slow_response(20'000);
+  const auto again = submit("again");
+  CHECK(again && again->status == CellStatus::kOverloaded);
+  it.Advance(6000);
+  slow_response(1250);
+  const auto next = submit("next");
+  CHECK(next && next->status == CellStatus::kOk);
 }
 
 // Jobs with much time left were accepted until their backlog took an owner
