Fix: [Cell] Tasks whose ends were not listed yet were started again (TWICE)

Cause: a backend server lists 500 ends at a time. The cell took each report for complete, so a run on neither list counted as gone, for a new owner (ResolveMaybeRunning) and for one that stays (ProcessRunning). Ruled out: lapsed leases (none), ends acknowledged unseen (all were processed). Change: a report tells whether there may be more ends; nothing is concluded from what such a report lacks. Leases are renewed meanwhile; a server that is lost meanwhile counts as lost once its leases have lapsed.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -236,10 +236,11 @@
     bool listed = false;          ///< It has an entry in the store.
     bool record_stored = false;   ///< Its record is stored; needed to place.
     bool storing_record = false;  ///< A write of its record is in flight.
-    /// Its lists were read by this owner. Reset when a start fails, its leases
-    /// lapse or it restarts.
+    /// Its lists were read to their end by this owner. Reset when a start
+    /// fails, its leases lapse or it restarts.
     bool lists_read = false;
-    Resources used;  ///< Resources occupied by `runs`.
+    bool more_ends = false;  ///< Its last report did not list all ends.
+    Resources used;          ///< Resources occupied by `runs`.
     std::map<RunRef, LiveRun> runs;
     uint32_t unknown_job_runs = 0;  ///< Number of `runs` with `job_unknown`.
     bool poll_in_flight = false;
@@ -366,10 +367,11 @@
   void DropServerIfIdle(const BackendId& id);
   void SendPoll(Server* server, Time now);
   void ProcessEnds(Server* server, const BackendReport& report, Time now);
-  void ProcessRunning(Server* server,
-                      const BackendReport& report,
-                      Time sent,
-                      Time now);
+  void ProcessRunning(Server* server, const BackendReport& report, Time now);
+  void RemoveUnlistedRuns(Server* server,
+                          const BackendReport& report,
+                          Time sent,
+                          Time now);
   void AdoptRun(Server* server, const ListedRun& row, Time now);
   void CheckIdleRun(Server* server,
                     const ListedRun& row,
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -134,6 +134,7 @@
   }
   speed_meter_.Reset(server->entry.id);
   server->lists_read = false;
+  server->more_ends = false;
   server->record_stored = false;
   server->storing_record = false;
   server->clock_ms = 0;
@@ -225,8 +226,7 @@
 
 void Cell::CheckServer(Server* server, Time now) {
   if (!server->lists_read && server->unknown_leases_lapse_at != kNever &&
-      now >= server->unknown_leases_lapse_at &&
-      server->clock_read_at == kNever && IsSilent(*server, now)) {
+      IsSilent(*server, now) && LeasesLapsed(*server, now)) {
     server->unknown_leases_lapse_at = kNever;
     ResolveMaybeRunning(server->entry.id, now);
   }
@@ -285,7 +285,8 @@
       server->suspect_until <= now && server->clock_read_at != kNever &&
       now - server->clock_read_at < kMaxReportAgeForAck;
   request.acknowledged = same_incarnation ? server->acknowledged : 0;
-  if (server->clock_read_at != kNever && server->lists_read) {
+  if (server->clock_read_at != kNever &&
+      (server->lists_read || server->more_ends)) {
     // An unresponsive server may still receive its polls. Its leases are not
     // renewed, or they would never be known to have lapsed.
     if (port_->MayRenew(options_.max_lease - options_.lease) &&
@@ -355,14 +356,25 @@
     server->lease_end_ms =
         report.clock_ms + static_cast<uint64_t>(options_.max_lease.count());
   }
-  server->lists_read = true;
-  server->unknown_leases_lapse_at = kNever;
+  server->more_ends = report.more_ends;
+  if (!report.more_ends) {
+    server->lists_read = true;
+    server->unknown_leases_lapse_at = kNever;
+  }
   server->clock_ms = report.clock_ms;
   server->clock_read_at = now;
   server->report_sent_at = sent;
   server->next_poll_at = report.ended.empty() ? now : now + kPollPause;
   ProcessEnds(server, report, now);
-  ProcessRunning(server, report, sent, now);
+  ProcessRunning(server, report, now);
+  if (report.more_ends) {
+    LogEvent(Part::kPlacer, "ends_not_all_listed",
+             {{"backend", backend.value},
+              {"listed", report.ended.size()},
+              {"runs", server->runs.size()}});
+    return;
+  }
+  RemoveUnlistedRuns(server, report, sent, now);
   ResolveMaybeRunning(backend, now);
 }
 
@@ -382,11 +394,8 @@
 
 void Cell::ProcessRunning(Server* server,
                           const BackendReport& report,
-                          Time sent,
                           Time now) {
-  std::set<RunRef> listed;
   for (const auto& row : report.running) {
-    listed.insert(row.run);
     auto found = server->runs.find(row.run);
     if (found == server->runs.end()) {
       AdoptRun(server, row, now);
@@ -408,6 +417,17 @@
                              1 + AgeMs(live->start_sent_at, now), now);
     }
   }
+}
+
+/// Removes runs that are on neither list. @pre The report lists all ends.
+void Cell::RemoveUnlistedRuns(Server* server,
+                              const BackendReport& report,
+                              Time sent,
+                              Time now) {
+  std::set<RunRef> listed;
+  for (const auto& row : report.running) {
+    listed.insert(row.run);
+  }
   std::vector<RunRef> gone;
   for (const auto& it : server->runs) {
     const LiveRun& live = it.second;
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -212,7 +212,10 @@
   uint64_t clock_ms = 0;     ///< The backend server's steady clock.
   uint64_t incarnation = 0;  ///< 0: not reported.
   std::vector<ListedRun> running;
-  std::vector<ListedEnd> ended;
+  std::vector<ListedEnd> ended;  ///< The oldest that were not acknowledged.
+  /// There may be later ends than those listed: a run that is on neither list
+  /// may have ended.
+  bool more_ends = false;
 };
 
 /// Admits a step's tasks on one backend server.
--- a/src/platform/backend.cc
+++ b/src/platform/backend.cc
@@ -15,6 +15,8 @@
 
 using nlohmann::json;
 
+/// Most ends that a backend server lists in one report.
+constexpr size_t kMaxListedEnds = 500;
 constexpr const char* kExpectInstanceHeader = "Bilberrywing-Expect-Instance";
 
 constexpr std::array<std::pair<const char*, RunEnd>, 6> kRunEndNames = {{
@@ -254,7 +256,9 @@
       out.running.push_back(std::move(*row));
     }
   }
-  for (const json& it : ListOf(body, "ended")) {
+  const json& ended = ListOf(body, "ended");
+  out.more_ends = ended.size() >= kMaxListedEnds;
+  for (const json& it : ended) {
     if (auto row = ParseEndedRow(it)) {
       out.ended.push_back(std::move(*row));
     }
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -720,6 +720,23 @@
   CHECK(RunEnd::kDone == report.ended[0].end);
 }
 
+// A backend server lists 500 ends at a time.
+TEST(Reading, ReportWithAFullListOfEndsTellsOfMore) {
+  constexpr int kListed = 500;
+  net::HttpResult result;
+  result.delivery = net::DeliveryStatus::kResponded;
+  result.status = 200;
+  std::string rows = R"(["a row that cannot be read"])";
+  for (int n = 2; n < kListed; ++n) {
+    rows += R"(,[)" + std::to_string(n) + R"(,"a.0.0.1",1,"done",""])";
+  }
+  result.body = R"({"clockMs":5,"ended":[)" + rows + "]}";
+  CHECK(!platform::ParseBackendReport(result).more_ends);
+  rows += R"(,[500,"a.0.0.1",1,"done",""])";
+  result.body = R"({"clockMs":5,"ended":[)" + rows + "]}";
+  CHECK(platform::ParseBackendReport(result).more_ends);
+}
+
 TEST(Reading, TaskNamesComeBackAsTheyWere) {
   const TaskRef task{JobId("5c0e7a21d94b36f8"), 3, 1, 17};
   STRCMP_EQUAL("5c0e7a21d94b36f8.3.1.17", platform::TaskName(task).c_str());
--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -2,6 +2,7 @@
 // and the lists of runs and ends as the platform's do.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +25,7 @@
   bool reachable = true;
   bool holds_polls = false;  ///< Polls are executed but not answered yet.
   int lost_answers = 0;      ///< So many starts are executed but not answered.
+  size_t max_listed_ends = 500;           ///< Ends in one report.
   std::set<RunRef> idle_runs;             ///< Runs that use no processor time.
   std::map<RunRef, std::string> running;  ///< Latest checkpoint of each run.
   std::map<RunRef, uint64_t> stopped;     ///< Runs that may not start again.
@@ -82,7 +84,10 @@
       const bool idle = idle_runs.contains(it.first);
       out.running.push_back({it.first, it.second, 100, idle ? 0U : 1000U});
     }
-    out.ended = ended;
+    const size_t listed = std::min(ended.size(), max_listed_ends);
+    out.ended.assign(ended.begin(),
+                     ended.begin() + static_cast<ptrdiff_t>(listed));
+    out.more_ends = listed < ended.size();
     return out;
   }
 
