Fix: [Cell] An old end of a perpetual task started it beside its present run (TWICE)

Cause: each end as done of a perpetual task put it back to waiting, also that of an earlier run which is listed again as it was not acknowledged. Ruled out: lapsed leases; the present runs had been adopted. Change: only the end of its latest run requeues a perpetual task.

--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -78,23 +78,28 @@
   const bool current = task->phase == TaskPhase::kLive &&
                        task->backend == server->entry.id &&
                        task->run == end.run.number;
-  if (end.end == RunEnd::kDone) {
+  const StepSpec& spec = job->spec.steps[end.run.task.step];
+  // Any run may complete a task. A perpetual task starts anew instead, but only
+  // after its latest run: an end is listed until it is acknowledged, also to
+  // later owners.
+  if (end.end == RunEnd::kDone && !spec.perpetual) {
     OnTaskDone(job, end.run.task, now);
     return;
   }
+  const std::string checkpoint =
+      end.end == RunEnd::kDone ? std::string() : end.checkpoint;
   if (task->maybe_running && task->backend == server->entry.id &&
       task->run == end.run.number) {
     ClearMaybeRunning(*job, end.run.task, task);
-    if (!end.checkpoint.empty() &&
-        job->spec.steps[end.run.task.step].checkpoint) {
-      task->checkpoint = end.checkpoint;
+    if (!checkpoint.empty() && spec.checkpoint) {
+      task->checkpoint = checkpoint;
     }
   }
   if (end.end == RunEnd::kFailed) {
     OnTaskFailed(server, job, end.run, now);
   }
   if (current && job->state == JobState::kActive) {
-    RequeueTask(job, end.run.task, end.checkpoint, now);
+    RequeueTask(job, end.run.task, checkpoint, now);
   }
 }
 
@@ -139,6 +144,7 @@
   }
 }
 
+/// @pre The task is not perpetual.
 void Cell::OnTaskDone(Job* job, const TaskRef& ref, Time now) {
   Occurrence& occurrence = job->occurrences.at(ref.occurrence);
   Step& step = occurrence.steps[ref.step];
@@ -166,10 +172,6 @@
     task.phase = TaskPhase::kDone;
     ++step.done;
   };
-  if (spec.perpetual) {
-    RequeueTask(job, ref, {}, now);
-    return;
-  }
   if (spec.gang) {
     for (uint32_t n = 0; n < step.tasks.size(); ++n) {
       finish(n);
--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -29,6 +29,32 @@
   FakeBackend& backend;
 };
 
+/// A perpetual task in its second run. The end of its first one, as done, on
+/// another backend server was not acknowledged.
+struct PerpetualTask {
+  PerpetualTask()
+      : it(2), task{JobId(kJob), 0, 0, 0}, first(FirstServer(&it, task)) {
+    const RunRef run = first.running.begin()->first;
+    first.reachable = false;  // Until the task runs elsewhere.
+    it.cell->DropBackend(first.entry.id);
+    first.End(run, RunEnd::kDone);
+    const auto ends = first.ended;
+    first.reachable = true;
+    it.Advance(1000);
+    first.ended = ends;
+    it.cell->SetBackend(first.entry, it.now);
+  }
+
+  static FakeBackend& FirstServer(CellHarness* it, const TaskRef& task) {
+    it->Submit(kJob, CellHarness::Tasks(1, 1000, R"(,"perpetual":true)"));
+    return it->backends.at(it->Find(task)->first);
+  }
+
+  CellHarness it;
+  TaskRef task;
+  FakeBackend& first;
+};
+
 }  // namespace
 
 TEST_GROUP(CellReport){};
@@ -84,4 +110,38 @@
   STRCMP_EQUAL("completed", s.it.State(kJob).c_str());
 }
 
+// A perpetual task ended as done, was started again, and its first end was not
+// acknowledged. Each owner that read the end again started a further run.
+TEST(CellReport, FormerEndOfAPerpetualTaskDoesNotStartItBesideItsRun) {
+  PerpetualTask s;
+  s.first.reachable = false;  // Its report comes last.
+  s.it.StartOwner(2);
+  s.it.Advance(100);
+  s.first.reachable = true;
+  s.it.Advance(1000);
+  CHECK_EQUAL(1, s.it.Running(s.task));
+  CHECK_EQUAL(2U, s.it.start_log.size());
+}
+
+// As above; the owner stays and the backend server's entry comes back.
+TEST(CellReport, FormerEndOfAPerpetualTaskThatIsListedAgainChangesNothing) {
+  PerpetualTask s;
+  s.it.cell->DropBackend(s.first.entry.id);
+  s.it.Advance(100);
+  s.it.cell->SetBackend(s.first.entry, s.it.now);
+  s.it.Advance(1000);
+  CHECK_EQUAL(1, s.it.Running(s.task));
+  CHECK_EQUAL(2U, s.it.start_log.size());
+}
+
+TEST(CellReport, PerpetualTaskThatEndsWhileNoOwnerActsIsStartedAgain) {
+  PerpetualTask s;
+  const auto run = s.it.Find(s.task);
+  s.it.backends.at(run->first).End(run->second, RunEnd::kDone);
+  s.it.StartOwner(2);
+  s.it.Advance(1000);
+  CHECK_EQUAL(1, s.it.Running(s.task));
+  STRCMP_EQUAL("running", s.it.State(kJob).c_str());
+}
+
 }  // namespace bw::test
