--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -322,8 +322,10 @@
     bool from_former_owner = false;  ///< Loaded from the store.
     bool stored = false;             ///< Its acceptance is durable.
     uint64_t store_request = 0;      ///< StoreRecords number of its acceptance.
-    bool started = false;            ///< A task of it was placed.
-    bool progress_changed = false;   ///< Its progress has to be stored.
+    /// A backend server confirmed or reported a run of it. Stored with its next
+    /// progress.
+    bool started = false;
+    bool progress_changed = false;  ///< Its progress has to be stored.
     JobState state = JobState::kActive;
     Objective objective;
     std::map<uint32_t, Occurrence> occurrences;
@@ -379,6 +381,7 @@
                     Time now);
   const StepSpec* SpecIfMeasurable(const RunRef& run,
                                    const LiveRun& live) const;
+  void MarkStarted(const JobId& id);
   void EraseRun(Server* server, const RunRef& run);
   void OnRunEnd(Server* server, const ListedEnd& end, Time now);
   void OnRunGone(Server* server, const RunRef& run, const char* why, Time now);
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -198,6 +198,7 @@
       live->repeated && result == OrderResult::kSuperseded;
   if (result == OrderResult::kDone || ended_after_first) {
     live->start_confirmed_at = now;
+    MarkStarted(run.task.job);
     if (live->phase == RunPhase::kStarting) {
       live->phase = RunPhase::kRunning;
     }
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -348,7 +348,6 @@
   task.run = run;
   step->live += 1;
   step->started = pass->now;
-  job->started = true;
   LiveRun live;
   live.need = spec.need;
   live.team = job->team;
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -26,6 +26,13 @@
 
 }  // namespace
 
+/// Notes that a run of the job has started, if the job is known.
+void Cell::MarkStarted(const JobId& id) {
+  if (Job* job = FindJob(id)) {
+    job->started = true;
+  }
+}
+
 void Cell::EraseRun(Server* server, const RunRef& run) {
   auto it = server->runs.find(run);
   if (it == server->runs.end()) {
@@ -71,6 +78,7 @@
   if (end.end == RunEnd::kDone) {
     server->strikes = 0;
   }
+  MarkStarted(end.run.task.job);
   if (task == nullptr || job->state != JobState::kActive ||
       task->phase == TaskPhase::kDone) {
     return;
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -403,6 +403,9 @@
     }
     LiveRun* live = &found->second;
     live->checkpoint = row.checkpoint;
+    if (live->start_confirmed_at == kNever) {
+      MarkStarted(row.run.task.job);
+    }
     const bool unconfirmed = live->phase == RunPhase::kStarting ||
                              live->phase == RunPhase::kUnconfirmed;
     if (unconfirmed && live->stop_sent_at == kNever) {
@@ -466,6 +469,7 @@
     const Resources room = OccupiedResources(spec);
     server->used = server->used + room;
     usage_[live.team] = usage_[live.team] + live.need;
+    job->started = true;
   }
   const bool wanted =
       task != nullptr && job->state == JobState::kActive &&
@@ -484,7 +488,6 @@
   task->phase = TaskPhase::kLive;
   step->live += 1;
   step->started = now;
-  job->started = true;
 }
 
 void Cell::CheckIdleRun(Server* server,
--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -144,4 +144,49 @@
   STRCMP_EQUAL("running", s.it.State(kJob).c_str());
 }
 
+// A backend server hangs. Jobs placed there were not counted as waiting, though
+// none of their tasks had started.
+TEST(CellReport, JobsThatNoServerHasStartedAreWaiting) {
+  CellHarness it(1);
+  it.backends.begin()->second.reachable = false;
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  it.Advance(2000);
+  CHECK(!it.start_log.empty());
+  CHECK_EQUAL(1U, it.cell->CountWaiting(QueueId("q")));
+  STRCMP_EQUAL("queued", it.State(kJob).c_str());
+  it.StartOwner(2);
+  it.Advance(500);
+  CHECK_EQUAL(1U, it.cell->CountWaiting(QueueId("q")));
+  it.backends.begin()->second.reachable = true;
+  it.Advance(12'000);
+  CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
+  CHECK_EQUAL(0U, it.cell->CountWaiting(QueueId("q")));
+  STRCMP_EQUAL("running", it.State(kJob).c_str());
+}
+
+// The first sign of a run may be its end: its start was not answered.
+TEST(CellReport, JobIsNotWaitingOnceARunHasEnded) {
+  CellHarness it(1);
+  FakeBackend& backend = it.backends.begin()->second;
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  const RunRef run = backend.running.begin()->first;
+  backend.End(run, RunEnd::kFailed);
+  it.port.may_act = false;  // The task is not started again.
+  it.StartOwner(2);
+  it.Advance(500);
+  CHECK_EQUAL(1U, it.start_log.size());
+  CHECK_EQUAL(0U, it.cell->CountWaiting(QueueId("q")));
+}
+
+TEST(CellReport, AdoptedRunsJobIsNotWaiting) {
+  CellHarness it(1);
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  CHECK_EQUAL(0U, it.cell->CountWaiting(QueueId("q")));
+  it.StartOwner(2);
+  it.Advance(200);
+  CHECK_EQUAL(1U, it.start_log.size());
+  CHECK_EQUAL(0U, it.cell->CountWaiting(QueueId("q")));
+  STRCMP_EQUAL("running", it.State(kJob).c_str());
+}
+
 }  // namespace bw::test
