Fix: [Process] A settings file that was being replaced ended a starting process

Seen by operators: a process that starts while its settings file is being written gave up at once (FAULT: 'the system didn't start'). Cause: errors in the file were final. Change: a file with errors is read again while its last change is less than 1 s ago. Before: Entry.SettingsFileThatIsBeingWrittenIsReadAgain failed. After: passes.

--- a/src/process.cc
+++ b/src/process.cc
@@ -5,6 +5,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <system_error>
 #include <thread>
 
@@ -22,6 +23,9 @@
 constexpr milliseconds kResponseFlushDelay{200};
 /// Interval of the check for settings files that changed without a SIGHUP.
 constexpr std::chrono::seconds kReloadInterval{5};
+/// A settings file may be incomplete until this long after its last change.
+constexpr milliseconds kSettingsSettleTime{1000};
+constexpr milliseconds kSettingsRetryPause{50};
 
 enum Option : int {
   kOptionSet = 1,
@@ -83,6 +87,29 @@
   out.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
 }
 
+/// @return True if the file was changed less than kSettingsSettleTime ago.
+bool ChangedJustNow(const std::string& file) {
+  std::error_code ec;
+  const auto changed = std::filesystem::last_write_time(file, ec);
+  return !ec && std::filesystem::file_time_type::clock::now() - changed <
+                    kSettingsSettleTime;
+}
+
+/// Loads the settings. Reads a file with errors again while it may still be
+/// being written.
+Settings LoadSettings(const std::string& file,
+                      std::span<const SettingDesc> table,
+                      const Overrides& overrides,
+                      std::vector<SettingError>* errors) {
+  Settings out = Settings::Load(file, table, overrides, errors);
+  while (!errors->empty() && ChangedJustNow(file)) {
+    std::this_thread::sleep_for(kSettingsRetryPause);
+    errors->clear();
+    out = Settings::Load(file, table, overrides, errors);
+  }
+  return out;
+}
+
 }  // namespace
 
 std::optional<CommandLine> ParseCommandLine(int argc,
@@ -137,7 +164,7 @@
   std::vector<SettingError> errors;
   out.settings_file = parsed.file == nullptr ? "" : parsed.file;
   out.overrides = overrides;
-  out.settings = Settings::Load(out.settings_file, table, overrides, &errors);
+  out.settings = LoadSettings(out.settings_file, table, overrides, &errors);
   poptFreeContext(context);
   for (const auto& it : errors) {
     std::fprintf(stderr, "%s\n", it.ToText().c_str());
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -1,7 +1,9 @@
 // Tests bwentry as real processes against a stand-in of the users' platform.
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
+#include <unistd.h>
 
+#include "../src/exit_type.h"
 #include "support/entry_fleet.h"
 
 namespace bw::test {
@@ -242,4 +244,22 @@
   CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "completed"; }));
 }
 
+// The platform replaces the settings file while the process starts. It gave up
+// at once on a file that was not complete yet.
+TEST(Entry, SettingsFileThatIsBeingWrittenIsReadAgain) {
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  fleet.ChangeSettings(0, "[bounds]\nrevoke_ms = no");
+  fleet.StartEntry(0);
+  usleep(300'000);
+  fleet.ChangeSettings(0, "[bounds]\nrevoke_ms = 5000\n");
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  fleet.Entry(0).Kill();
+  fleet.ChangeSettings(0, "[bounds]\nrevoke_ms = no");
+  fleet.StartEntry(0);
+  LONGS_EQUAL(ToInt(ExitCode::kSettings),
+              fleet.Entry(0).Wait(milliseconds(5000)));
+}
+
 }  // namespace bw::test
