Fix: [Entry] A listen address in use ended a starting process

Seen by operators: a process that starts while its predecessor is ending ended at once with exit code 1 (FAULT: 'the system didn't start'). Cause: the first failure to bind was final. Change: each listen address is tried for 5 s, with a log line for each failure. Before: Entry.ListenAddressThatIsInUseIsWaitedFor failed. After: passes.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -1,5 +1,7 @@
 #include "entry_base.h"
 
+#include <exception>
+#include <thread>
 #include <utility>
 
 #include "event_log_func.h"
@@ -23,6 +25,35 @@
 constexpr milliseconds kRefuseBeforeKill{1600};
 constexpr milliseconds kIdleConnection{60'000};
 constexpr size_t kMaxBodyBytes = 1 << 20;
+/// Longest wait for a listen address that is in use, as by a former process
+/// that is ending.
+constexpr milliseconds kMaxListenWait{5000};
+constexpr milliseconds kListenRetryPause{200};
+
+/// Calls `listen` again if it throws, for kMaxListenWait at most.
+template <typename F>
+auto ListenWithRetry(const std::string& address, const F& listen) {
+  const Time limit = BootClock::now() + kMaxListenWait;
+  while (true) {
+    try {
+      return listen();
+    } catch (const std::exception& e) {
+      LogEvent(Part::kKernel, "listen_failed",
+               {{"address", address}, {"error", e.what()}});
+      if (BootClock::now() >= limit) {
+        throw;
+      }
+    }
+    std::this_thread::sleep_for(kListenRetryPause);
+  }
+}
+
+std::unique_ptr<net::HttpServer> Listen(const net::HttpServerOptions& options,
+                                        const net::HttpHandler& handler) {
+  return ListenWithRetry(options.listen, [&] {
+    return std::make_unique<net::HttpServer>(options, handler);
+  });
+}
 
 }  // namespace
 
@@ -51,11 +82,13 @@
 Entry::~Entry() = default;
 
 void Entry::Start(Kernel&) {
-  mesh_ = net::MakeMesh(
-      {options_.membership.address, options_.membership.name}, &clock_,
-      [this](const proto::Envelope& request, net::Mesh::Reply reply) {
-        OnMeshRequest(request, std::move(reply));
-      });
+  mesh_ = ListenWithRetry(options_.membership.address, [this] {
+    return net::MakeMesh(
+        {options_.membership.address, options_.membership.name}, &clock_,
+        [this](const proto::Envelope& request, net::Mesh::Reply reply) {
+          OnMeshRequest(request, std::move(reply));
+        });
+  });
   owner_.SetMesh(mesh_.get());
   relay_server_.SetMesh(mesh_.get());
   front_.SetMesh(mesh_.get());
@@ -74,29 +107,27 @@
   front.listen = options_.listen_front;
   front.read_timeout = kIdleConnection;
   front.max_body_bytes = kMaxBodyBytes;
-  front_server_ = std::make_unique<net::HttpServer>(
+  front_server_ = Listen(
       front, [this](const net::HttpRequest& request, net::Responder respond) {
         front_.Serve(request, std::move(respond));
       });
   net::HttpServerOptions ready;
   ready.listen = options_.listen_ready;
   ready.read_timeout = kIdleConnection;
-  ready_server_ = std::make_unique<net::HttpServer>(
-      ready,
-      [this](const net::HttpRequest& request, const net::Responder& respond) {
-        respond(ReadyPage(request));
-      });
+  ready_server_ = Listen(ready, [this](const net::HttpRequest& request,
+                                       const net::Responder& respond) {
+    respond(ReadyPage(request));
+  });
   if (!options_.listen_metrics.empty()) {
     net::HttpServerOptions metrics;
     metrics.listen = options_.listen_metrics;
-    metrics_server_ = std::make_unique<net::HttpServer>(
-        metrics,
-        [this](const net::HttpRequest&, const net::Responder& respond) {
-          net::HttpResponse out;
-          out.content_type = "text/plain; version=0.0.4";
-          out.body = metrics_.ToText();
-          respond(out);
-        });
+    metrics_server_ = Listen(metrics, [this](const net::HttpRequest&,
+                                             const net::Responder& respond) {
+      net::HttpResponse out;
+      out.content_type = "text/plain; version=0.0.4";
+      out.body = metrics_.ToText();
+      respond(out);
+    });
   }
 }
 
--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -56,7 +56,12 @@
     router_ = zmq::socket_t(context_, zmq::socket_type::router);
     SetCommon(router_);
     if (!options_.listen.empty()) {
-      router_.bind("tcp://" + options_.listen);
+      try {
+        router_.bind("tcp://" + options_.listen);
+      } catch (const zmq::error_t&) {
+        close(wake_fd_);
+        throw;
+      }
     }
     thread_ = std::jthread([this](const std::stop_token& stop) { Run(stop); });
   }
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -1,9 +1,12 @@
 // Tests bwentry as real processes against a stand-in of the users' platform.
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "../src/exit_type.h"
+#include "../src/text_func.h"
 #include "support/entry_fleet.h"
 
 namespace bw::test {
@@ -27,6 +30,27 @@
   });
 }
 
+/// Listens on a TCP address.
+class HeldAddress {
+ public:
+  explicit HeldAddress(const std::string& address)
+      : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int yes = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    const HostPort parsed = SplitAddress(address);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(parsed.port);
+    inet_pton(AF_INET, parsed.host.c_str(), &to.sin_addr);
+    CHECK_EQUAL(0, bind(fd_, reinterpret_cast<sockaddr*>(&to), sizeof(to)));
+    CHECK_EQUAL(0, listen(fd_, 1));
+  }
+  ~HeldAddress() { close(fd_); }
+
+ private:
+  const int fd_;
+};
+
 }  // namespace
 
 TEST_GROUP(Entry){};
@@ -262,4 +286,19 @@
               fleet.Entry(0).Wait(milliseconds(5000)));
 }
 
+// A process that starts while its listen address is still in use, as by its
+// predecessor, ended at once.
+TEST(Entry, ListenAddressThatIsInUseIsWaitedFor) {
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  {
+    const HeldAddress held(fleet.FrontOf(0));
+    fleet.StartEntry(0);
+    usleep(800'000);
+    LONGS_EQUAL(-1, fleet.Entry(0).Wait(milliseconds(0)));
+  }
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+}
+
 }  // namespace bw::test
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -35,6 +35,8 @@
   /// @return The job's state as instance `n` reports it; empty on failure.
   std::string State(int n, const std::string& job) const;
   bool IsReady(int n) const;
+  /// @return "ip:port" on which instance `n` serves callers.
+  std::string FrontOf(int n) const;
   /// Waits for an owner. @return The number of its instance, or -1.
   int WaitForOwner() const;
 
@@ -44,14 +46,14 @@
   /// servers.
   Json AllRuns() const;
   /// @return A description of the first fault in the runs: two runs of a task
-  /// at the same time, or a run after a successful one. Empty if there is none.
+  /// at the same time, or a run after a successful one whose end did not get
+  /// lost in a crash. Empty if there is none.
   std::string Audit() const;
   /// @return The log output of instance `n`.
   std::string Log(int n) const;
 
  private:
   std::string SettingsOf(int n) const;
-  std::string FrontOf(int n) const;
   int FindOwner() const;
 
   int ports_ = 0;
