Fix: [Process] A signal that came early in a process's start ended it

Cause: signals were blocked only after the settings had been read and the log set up. Ruled out: a signal later on; 600 SIGHUP 2 ms apart ended nothing, and all threads block it. Change: signals are blocked first, in all daemons.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -103,6 +103,7 @@
 }
 
 int Main(int argc, const char** argv) {
+  BlockSignals();
   // The platform passes the path of the settings file in the environment.
   std::vector<const char*> arguments(argv, argv + argc);
   std::string from_platform;
@@ -122,7 +123,6 @@
   if (!line) {
     return exit_code;
   }
-  BlockSignals();
   UseStructuredOutput();
   const EntryOptions options = OptionsFrom(line->settings);
   LogEvent(Part::kKernel, "start",
--- a/src/bin/bwplacer.cc
+++ b/src/bin/bwplacer.cc
@@ -39,13 +39,13 @@
 }
 
 int Main(int argc, const char** argv) {
+  BlockSignals();
   int exit_code = 0;
   auto line = ParseCommandLine(argc, argv, "[OPTION...]",
                                table::kPlacerSettings, {}, &exit_code);
   if (!line) {
     return exit_code;
   }
-  BlockSignals();
   const Settings& settings = line->settings;
   auto log = platform::MakeHttpLogClient(settings.Text("platform.log"));
   auto list = platform::MakeHttpInstanceList(settings.Text("platform.list"));
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -6,7 +6,8 @@
 //                  {"crash":N}                            restart backend N
 //                  {"silent":N,"on":b}                    backend N hangs
 //                  {"config":{...}}                       set configuration
-//   GET  /truth    all runs: task, run, backend, began_ms, ended_ms, how
+//   GET  /truth    all runs: task, run, backend, began_ms, ended_ms, how,
+//                  forgotten (the end was lost in a crash)
 //
 // A task whose spec contains "ms=N" takes N ms; others run until stopped.
 
@@ -84,6 +85,8 @@
   uint64_t began_ms = 0;
   uint64_t ended_ms = 0;  ///< 0: still running.
   std::string how;        ///< Why it ended.
+  /// A crash lost its end before it was acknowledged.
+  bool forgotten = false;
 };
 
 /// HTTP server of the store; expires group members whose TTL has passed.
@@ -324,6 +327,12 @@
     while (!running_.empty()) {
       End(running_.begin()->first, "crashed");
     }
+    for (const Json& it : ended_) {
+      for (auto& record : run_records_) {
+        record.forgotten =
+            record.forgotten || (record.task == it[1] && record.run == it[2]);
+      }
+    }
     ended_.clear();
     last_end_number_ = 0;
     fencing_token_ = 0;
@@ -384,7 +393,8 @@
                       {"backend", id_},
                       {"began_ms", it.began_ms},
                       {"ended_ms", it.ended_ms},
-                      {"how", it.how}});
+                      {"how", it.how},
+                      {"forgotten", it.forgotten}});
     }
   }
 
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -49,8 +49,8 @@
                           int argc,
                           const char** argv);
 
-/// Blocks SIGTERM, SIGINT, SIGHUP and SIGPIPE in all threads. Call before
-/// starting any thread.
+/// Blocks SIGTERM, SIGINT, SIGHUP and SIGPIPE in all threads. Call first: a
+/// signal that arrives before ends the process, and threads inherit the mask.
 void BlockSignals();
 
 /// Waits for SIGTERM or SIGINT.
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -268,6 +268,21 @@
   CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "completed"; }));
 }
 
+// A SIGHUP that came before the process had blocked signals ended it.
+TEST(Entry, HangUpWhileItStartsDoesNotEndTheProcess) {
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  fleet.ChangeSettings(0, "[bounds]\nrevoke_ms = no");  // Keeps it waiting.
+  fleet.StartEntry(0);
+  usleep(300'000);
+  fleet.Entry(0).Signal(SIGHUP);
+  usleep(100'000);
+  fleet.ChangeSettings(0, "[bounds]\nrevoke_ms = 5000\n");
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  LONGS_EQUAL(-1, fleet.Entry(0).Wait(milliseconds(0)));
+}
+
 // The platform replaces the settings file while the process starts. It gave up
 // at once on a file that was not complete yet.
 TEST(Entry, SettingsFileThatIsBeingWrittenIsReadAgain) {
