Fix: [Platform] A deeply nested entry in the store ended every process that read it

Seen by operators: one odd entry among those of the backend servers ended the owner, and each next one (processes that end by themselves, LOST). Cause: ParseObject copied what it had parsed; a copy takes stack for each level of nesting. The same for the configuration, reports and advice. Ruled out: numbers too large and ports out of range, which were skipped. Change: the value is moved. A load figure beyond 64 bits is bounded.

--- a/src/platform/backend.cc
+++ b/src/platform/backend.cc
@@ -17,6 +17,8 @@
 
 /// Most ends that a backend server lists in one report.
 constexpr size_t kMaxListedEnds = 500;
+/// Largest load metric that is taken over.
+constexpr double kMaxLoad = 1e12;
 constexpr const char* kExpectInstanceHeader = "Bilberrywing-Expect-Instance";
 
 constexpr std::array<std::pair<const char*, RunEnd>, 6> kRunEndNames = {{
@@ -79,7 +81,7 @@
   }
   if (row.size() > 4 && row[4].is_number()) {
     out.load_metric =
-        static_cast<uint64_t>(std::max(0.0, row[4].get<double>()));
+        static_cast<uint64_t>(std::clamp(row[4].get<double>(), 0.0, kMaxLoad));
   }
   return out;
 }
--- a/src/platform/json_func.h
+++ b/src/platform/json_func.h
@@ -13,7 +13,10 @@
 /// @return The JSON object in `text`; an empty object if `text` is not one.
 inline nlohmann::json ParseObject(const std::string& text) {
   auto out = nlohmann::json::parse(text, nullptr, /*allow_exceptions=*/false);
-  return out.is_object() ? out : nlohmann::json::object();
+  if (!out.is_object()) {
+    out = nlohmann::json::object();
+  }
+  return out;  // Not copied: a copy takes stack for each level of nesting.
 }
 
 /// @return The value of a string field; empty if absent or of another type.
--- a/test/fuzz_test.cc
+++ b/test/fuzz_test.cc
@@ -189,6 +189,78 @@
   }
 }
 
+/// Values that another writer of the store may send, far beyond any limit.
+std::vector<std::string> OddValues() {
+  constexpr size_t kDepth = 200'000;
+  const std::string arrays =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string objects;
+  for (size_t n = 0; n < kDepth; ++n) {
+    objects += R"({"a":)";
+  }
+  objects += "1" + std::string(kDepth, '}');
+  return {arrays,
+          objects,
+          std::string(kDepth, '['),
+          "1e999",
+          "-1e999",
+          "1e308",
+          "-1",
+          "18446744073709551615",
+          "18446744073709551616",
+          std::string(kDepth, '9'),
+          R"("10.0.0.1:65536")",
+          R"("10.0.0.1:99999999999999999999")",
+          R"("10.0.0.1:-1")",
+          R"("10.0.0.1:0")",
+          R"("\ud800")"};
+}
+
+// Another writer's odd entry among those of the backend servers: very deeply
+// nested, with a number too large, or with a port out of range. The first one
+// overflowed the stack of each instance that read it.
+TEST(Fuzz, OddEntriesOfOtherWriters) {
+  for (const char* field :
+       {"service", "address", "zone", "state", "remainingMs", "born",
+        "capacity", "labels", "odd"}) {
+    for (const auto& value : OddValues()) {
+      Json entry = Json::parse(kEntry);
+      entry.erase(field);
+      std::string text = entry.dump();
+      text.back() = ',';
+      text += '"' + std::string(field) + "\":" + value + '}';
+      if (const auto read = platform::ReadBackendEntry("i-1", text)) {
+        CHECK(read->remaining_ms.value_or(0) <= kMaxMs);
+        CHECK(read->capacity.millicores <= uint64_t{1} << 50);
+        STRCMP_EQUAL("10.0.0.1:80", read->address.c_str());
+      }
+    }
+  }
+  for (const auto& value : OddValues()) {
+    CHECK(!platform::ReadBackendEntry("i-1", value).has_value());
+  }
+}
+
+// Such values from the operator, a backend server and a caller.
+TEST(Fuzz, OddValuesElsewhere) {
+  for (const auto& value : OddValues()) {
+    const std::string field = R"({"version":)" + value + '}';
+    const auto config = platform::ReadConfiguration(field);
+    CHECK(config == nullptr || config->queues.empty());
+    platform::ReadConfiguration(R"({"version":7,"routes":[{"stretch":)" +
+                                value + R"(,"advice":)" + value +
+                                R"(}],"limits":)" + value + "}");
+    platform::ParseBackendReport(Response(R"({"running":[["a.0.0.1",1,"",)" +
+                                          value + "," + value +
+                                          R"(]],"ended":)" + value + "}"));
+    platform::ParseAdviceResponse(Response(R"({"good":)" + value + "}"));
+    BatchSpec spec;
+    platform::ReadBatchSpec(R"({"spec":"x","steps":[{"count":)" + value +
+                                R"(,"dependsOn":)" + value + "}]}",
+                            &spec);
+  }
+}
+
 TEST(Fuzz, Configuration) {
   const char* const sample =
       R"({"version":7,"routes":[{"name":"q","host":"h","pathPrefix":"/p/",)"
@@ -235,10 +307,12 @@
 /// A store client on an HTTP client that responds with the given body.
 class BodyClient : public net::HttpClient {
  public:
-  void Send(net::HttpCall, std::function<bool()>, Done done) override {
+  void Send(net::HttpCall call, std::function<bool()>, Done done) override {
+    url = call.url;
     done(Response(body));
   }
   std::string body;
+  std::string url;  ///< Of the last call.
 };
 
 TEST(Fuzz, ResponsesOfTheStore) {
