Fix: [Kernel] The core loop's thread id was read while it was being set

Found by the thread sanitizer under the soak (with other reports, all about memory that passes through libzmq, which is not instrumented): a reply of the store that arrives while the process starts reads thread_ as Start assigns it. The id is an atomic now. The stand-in of the platform used a key after it had erased it (Backend::End), found in the same run.

--- a/src/event_loop_base.h
+++ b/src/event_loop_base.h
@@ -47,7 +47,7 @@
   /// loop has been stopped.
   void PostBlocking(Callback callback) {
     Queued item{std::move(callback), BootClock::now()};
-    if (std::this_thread::get_id() == thread_.get_id()) {
+    if (std::this_thread::get_id() == thread_id_) {
       if (!ring_.Push(item) && !ring_.closed()) {
         item.callback();
       }
@@ -117,6 +117,7 @@
   };
 
   void Run(const std::stop_token& stop) {
+    thread_id_ = std::this_thread::get_id();
     const ScopedThreadCpu cpu("core");
     Time last = BootClock::now();
     Time next_tick = last;
@@ -165,6 +166,7 @@
   Ring<Queued> ring_{kRingSize};
   Ring<Queued> deferrable_{kDeferrableRingSize};
   std::atomic<Duration::rep> max_queue_delay_{0};
+  std::atomic<std::thread::id> thread_id_;  ///< Of the loop, once it runs.
   std::jthread thread_;
 };
 
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -478,7 +478,8 @@
                                     {"ended", ended_}}));
   }
 
-  void End(const std::string& task, const char* how) {
+  /// @param task Not a reference, as it may be the key that is erased.
+  void End(std::string task, const char* how) {
     const ActiveRun run = running_.at(task);
     running_.erase(task);
     highest_ended_run_[task] = std::max(highest_ended_run_[task], run.run);
--- a/test/soak_test.cc
+++ b/test/soak_test.cc
@@ -25,7 +25,7 @@
 constexpr int kInstances = 5;
 constexpr int kBackends = 8;
 constexpr int kCallers = 6;
-constexpr int kDefaultSeconds = 30;
+constexpr int kDefaultSeconds = 60;
 /// A connection that ends this soon after a request may take it along.
 constexpr milliseconds kLossSlack{200};
 /// Disruptions count for calls that begin this long after them.
