--- a/src/cell.cc
+++ b/src/cell.cc
@@ -217,18 +217,11 @@
     placing_delay_.OnNewStep(policy->priority);
   }
   job.waiting_accept.push_back(std::move(done));
-  proto::JobRecord record;
-  record.set_team(team.value);
-  record.set_queue(queue.value);
-  record.set_body(body);
-  record.set_accepted_ms(job.accepted_ms);
-  record.set_service(policy->service);
-  record.set_max_attempts(policy->max_attempts);
-  record.set_over_share(job.rate_limited);
+  std::string record = SerializeJob(job);
   Job& added = jobs_[id] = std::move(job);
-  added.store_request = port_->StoreRecords(
-      {platform::MakeKeyedRecord("s:" + id.value, record.SerializeAsString())},
-      [this, id] { OnAccepted(id); });
+  added.store_request =
+      port_->StoreRecords({platform::MakeKeyedRecord("s:" + id.value, record)},
+                          [this, id] { OnAccepted(id); });
   // Placing need not wait until the job is stored: each start waits for its
   // own record, which is stored after this one.
   OpenJob(&added, now);
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -518,6 +518,7 @@
 
   // cell_record.cc: persisted records.
   void StoreChanges();
+  static std::string SerializeJob(const Job& job);
   std::string SerializeProgress(const Job& job) const;
   void LoadJob(const JobId& id, const std::string& value, Time now);
   void LoadProgress(const JobId& id, const std::string& value);
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -11,6 +11,9 @@
 
 /// Pause of a step whose start order was rejected.
 constexpr milliseconds kRejectedPause{200};
+/// Advice settings of a queue that is not configured any more, if its record
+/// has none: expected duration of a query and validity of a ticket, in ms.
+constexpr AdvicePolicy kAssumedAdvice{100, 5, 1000};
 
 }  // namespace
 
@@ -220,6 +223,10 @@
   if (FindTask(run.task, &job, &step) != nullptr) {
     if (result == OrderResult::kNoTicket) {
       step->advice.admitted.erase(backend);
+      if (!job->policy.advice) {
+        // Its queue requires tickets since the record was stored.
+        job->policy.advice = kAssumedAdvice;
+      }
     }
     if (result == OrderResult::kInvalid || result == OrderResult::kNoRoom) {
       step->not_before = now + kRejectedPause;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -34,8 +34,47 @@
   return {in.millicores(), in.memory_mb(), in.accelerators()};
 }
 
+/// @return The policy of a job's queue when it was accepted, which applies if
+/// the queue was removed since.
+CellQueue PolicyOf(const proto::JobRecord& record) {
+  CellQueue out;
+  out.name = QueueId(record.queue());
+  out.service = record.service();
+  out.max_attempts = record.max_attempts();
+  out.priority = record.priority();
+  out.stretch = record.stretch();
+  out.target_latency_ms = record.target_latency_ms();
+  if (record.has_advice()) {
+    out.advice = AdvicePolicy{record.advice().query_ms(),
+                              record.advice().query_ms_per_server(),
+                              record.advice().valid_ms()};
+  }
+  return out;
+}
+
 }  // namespace
 
+std::string Cell::SerializeJob(const Job& job) {
+  proto::JobRecord out;
+  out.set_team(job.team.value);
+  out.set_queue(job.queue.value);
+  out.set_body(job.body);
+  out.set_accepted_ms(job.accepted_ms);
+  out.set_over_share(job.rate_limited);
+  out.set_service(job.policy.service);
+  out.set_max_attempts(job.policy.max_attempts);
+  out.set_priority(job.policy.priority);
+  out.set_stretch(job.policy.stretch);
+  out.set_target_latency_ms(job.policy.target_latency_ms);
+  if (const auto& advice = job.policy.advice) {
+    auto* it = out.mutable_advice();
+    it->set_query_ms(advice->query_ms);
+    it->set_query_ms_per_server(advice->query_ms_per_server);
+    it->set_valid_ms(advice->valid_ms);
+  }
+  return out.SerializeAsString();
+}
+
 std::string Cell::SerializeProgress(const Job& job) const {
   proto::JobProgress out;
   out.set_state(static_cast<uint32_t>(job.state));
@@ -194,9 +233,7 @@
   if (policy != nullptr) {
     job.policy = *policy;
   } else {
-    job.policy.name = job.queue;
-    job.policy.service = record.service();
-    job.policy.max_attempts = record.max_attempts();
+    job.policy = PolicyOf(record);
   }
   job.objective = ObjectiveOf(job.policy, LongestChainMs(job.spec, {}));
   jobs_[id] = std::move(job);
--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -189,4 +189,55 @@
   STRCMP_EQUAL("running", it.State(kJob).c_str());
 }
 
+namespace {
+
+/// The first of two steps of a job runs, on a queue with advice that is removed
+/// from the configuration.
+struct RemovedQueue {
+  explicit RemovedQueue(bool advice_when_accepted) : it(1) {
+    it.port.on_advice_query = [this](const FakeCellPort::AdviceQuery& query) {
+      platform::AdviceResponse response;
+      response.answered = true;
+      for (const auto& id : query.backends) {
+        response.recommended.push_back({id, "ticket"});
+      }
+      it.cell->OnAdviceResponse(query.step, query.backends, response, it.now);
+    };
+    if (advice_when_accepted) {
+      it.config->queues[0].advice = AdvicePolicy{10, 1, 2000};
+    }
+    it.cell->SetConfig(it.config);
+    it.Submit(kJob, R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":500},)"
+                    R"({"cpu":1000,"estimateMs":500,"dependsOn":[0]}]})");
+    backend().needs_ticket = true;
+    it.config->queues.clear();
+    it.cell->SetConfig(it.config);
+    it.StartOwner(2);
+    it.Advance(200);
+    EndAll(&backend(), RunEnd::kDone);
+    it.Advance(1000);
+  }
+
+  FakeBackend& backend() { return it.backends.begin()->second; }
+
+  CellHarness it;
+};
+
+}  // namespace
+
+// After the removal of a queue with advice and a change of owner, the next step
+// of an accepted job was started without a ticket, again and again.
+TEST(CellReport, JobOfARemovedQueueKeepsItsAdvice) {
+  RemovedQueue s(/*advice_when_accepted=*/true);
+  CHECK_EQUAL(1, s.it.Running({JobId(kJob), 0, 1, 0}));
+  CHECK_EQUAL(2U, s.it.start_log.size());
+}
+
+// As above; the queue got its advice after the job was accepted.
+TEST(CellReport, RejectionForWantOfATicketLeadsToAQueryForAdvice) {
+  RemovedQueue s(/*advice_when_accepted=*/false);
+  CHECK_EQUAL(1, s.it.Running({JobId(kJob), 0, 1, 0}));
+  CHECK(s.it.start_log.size() <= 4);
+}
+
 }  // namespace bw::test
--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -23,8 +23,9 @@
   uint64_t lease_end_ms = 0;
   uint64_t last_end = 0;
   bool reachable = true;
-  bool holds_polls = false;  ///< Polls are executed but not answered yet.
-  int lost_answers = 0;      ///< So many starts are executed but not answered.
+  bool needs_ticket = false;  ///< Starts without a ticket are rejected.
+  bool holds_polls = false;   ///< Polls are executed but not answered yet.
+  int lost_answers = 0;       ///< So many starts are executed but not answered.
   size_t max_listed_ends = 500;           ///< Ends in one report.
   std::set<RunRef> idle_runs;             ///< Runs that use no processor time.
   std::map<RunRef, std::string> running;  ///< Latest checkpoint of each run.
@@ -46,6 +47,9 @@
       }
     }
     lease_end_ms = std::max(lease_end_ms, order.lease_end_ms);
+    if (needs_ticket && order.ticket.empty()) {
+      return OrderResult::kNoTicket;
+    }
     running[order.run] = order.checkpoint;
     return OrderResult::kDone;
   }
