Fix: [Record] A record beyond the store's limit deposed every owner (LOST)

Cause: a job's progress was one record of any size, and the record log took the store's 400 for fencing, so that each owner resigned and the next sent the same. Ruled out: fencing; the epoch was the highest. Change: a value too large for one record is stored in several, in one call. An invalid append is repeated after 1 s and ends no term. Before: RecordLog.InvalidRecordsDoNotDeposeTheOwner failed (fenced 12 times) and CellReport.LargeJobsAreStoredInSeveralRecords failed with the splitting taken away.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -217,11 +217,11 @@
     placing_delay_.OnNewStep(policy->priority);
   }
   job.waiting_accept.push_back(std::move(done));
-  std::string record = SerializeJob(job);
+  std::vector<std::string> records;
+  AddRecords("s:" + id.value, SerializeJob(job), &job.body_parts, &records);
   Job& added = jobs_[id] = std::move(job);
   added.store_request =
-      port_->StoreRecords({platform::MakeKeyedRecord("s:" + id.value, record)},
-                          [this, id] { OnAccepted(id); });
+      port_->StoreRecords(std::move(records), [this, id] { OnAccepted(id); });
   // Placing need not wait until the job is stored: each start waits for its
   // own record, which is stored after this one.
   OpenJob(&added, now);
@@ -463,9 +463,10 @@
   StopJobRuns(job, now);
   const JobId id = job->id;
   const EndedJob ended{job->team, job->queue, state, wall_ms_};
-  std::vector<std::string> records = {
-      platform::MakeKeyedRecord("p:" + id.value, SerializeProgress(*job)),
-      platform::MakeKeyedRecord("s:" + id.value, "")};
+  std::vector<std::string> records;
+  AddRecords("p:" + id.value, SerializeProgress(*job), &job->progress_parts,
+             &records);
+  AddRecords("s:" + id.value, "", &job->body_parts, &records);
   changed_jobs_.erase(id);
   job->progress_changed = false;
   port_->StoreRecords(std::move(records),
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -42,6 +42,9 @@
   milliseconds ended_job_retention{120'000};  ///< Retention time of ended jobs.
   double far_factor = 3;  ///< Slowdown of a task far from its data.
   uint64_t wall_ms = 0;   ///< Wall clock when the cell is created.
+  size_t max_record_bytes = 256 << 10;  ///< Largest record of the store.
+  /// Most bytes of records in one call of the store.
+  size_t max_call_bytes = 2 << 20;
 };
 
 /// Side effects of the cell, carried out by its owner. Responses are delivered
@@ -326,6 +329,8 @@
     /// progress.
     bool started = false;
     bool progress_changed = false;  ///< Its progress has to be stored.
+    uint32_t body_parts = 0;        ///< Further records of it as submitted.
+    uint32_t progress_parts = 0;    ///< Further records of its progress.
     JobState state = JobState::kActive;
     Objective objective;
     std::map<uint32_t, Occurrence> occurrences;
@@ -518,10 +523,17 @@
 
   // cell_record.cc: persisted records.
   void StoreChanges();
+  void AddRecords(const std::string& key,
+                  const std::string& value,
+                  uint32_t* parts,
+                  std::vector<std::string>* out) const;
+  void StoreInCalls(std::vector<std::vector<std::string>> groups,
+                    std::function<void()> done);
   static std::string SerializeJob(const Job& job);
   std::string SerializeProgress(const Job& job) const;
   void LoadJob(const JobId& id, const std::string& value, Time now);
   void LoadProgress(const JobId& id, const std::string& value);
+  void LoadContinued(Time now);
   void LoadBackend(const BackendId& id, const std::string& value, Time now);
   void ApplyProgress(Job* job, const std::string& value, Time now);
   void DropExpiredJobs(uint64_t wall_ms);
@@ -533,6 +545,9 @@
   std::unordered_map<JobId, Job> jobs_;
   std::map<JobId, EndedJob> ended_;
   std::map<JobId, std::string> loaded_progress_;
+  std::map<std::string, std::string> loaded_parts_;  ///< Further records.
+  /// Keys that were loaded with further records, and how many.
+  std::map<std::string, uint32_t> continued_;
   std::unordered_map<BackendId, Server> servers_;
   ReadySteps ready_;  ///< Steps with waiting tasks.
   std::set<JobId> changed_jobs_;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -3,6 +3,8 @@
 // server that may run tasks.
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "cell_base.h"
 #include "event_log_func.h"
@@ -16,6 +18,38 @@
 /// Added to the guaranteed retention time of ended jobs, as clocks differ.
 constexpr uint64_t kClockSkewMs = 30'000;
 
+/// Length of the kind that a key begins with.
+constexpr size_t kKindLength = 2;
+/// Upper bound of the bytes that a key takes in its record.
+constexpr size_t kMaxKeyBytes = 256;
+/// Between a key and the number of a further record.
+constexpr char kPartSeparator = '/';
+
+std::string PartKey(const std::string& key, uint32_t n) {
+  return key + kPartSeparator + std::to_string(n);
+}
+
+/// @return The value of a key whose value is in `parts` further records.
+template <typename T>
+std::string MakeHead(uint32_t parts) {
+  T out;
+  out.set_continued_in(parts);
+  return out.SerializeAsString();
+}
+
+/// @return Number of further records that hold the value of a key.
+uint32_t PartsOf(const std::string& key, const std::string& value) {
+  proto::JobRecord job;
+  proto::JobProgress progress;
+  if (key.starts_with("s:") && job.ParseFromString(value)) {
+    return job.continued_in();
+  }
+  if (key.starts_with("p:") && progress.ParseFromString(value)) {
+    return progress.continued_in();
+  }
+  return 0;
+}
+
 std::string PackDone(const std::vector<bool>& done) {
   std::string out((done.size() + 7) / 8, '\0');
   for (size_t n = 0; n < done.size(); ++n) {
@@ -122,6 +156,56 @@
   return out.SerializeAsString();
 }
 
+/// Adds the records of a key: one, or if the value is too large for one, a head
+/// and further records that hold its parts.
+/// @param value Empty: removes the key.
+/// @param parts Number of further records; those not needed any more are
+/// removed.
+void Cell::AddRecords(const std::string& key,
+                      const std::string& value,
+                      uint32_t* parts,
+                      std::vector<std::string>* out) const {
+  const size_t max_bytes = options_.max_record_bytes - kMaxKeyBytes;
+  uint32_t count = 0;
+  if (value.size() <= max_bytes) {
+    out->push_back(platform::MakeKeyedRecord(key, value));
+  } else {
+    count = static_cast<uint32_t>((value.size() + max_bytes - 1) / max_bytes);
+    out->push_back(platform::MakeKeyedRecord(
+        key, key.starts_with("s:") ? MakeHead<proto::JobRecord>(count)
+                                   : MakeHead<proto::JobProgress>(count)));
+  }
+  for (uint32_t n = 0; n < count; ++n) {
+    out->push_back(platform::MakeKeyedRecord(
+        PartKey(key, n + 1), value.substr(n * max_bytes, max_bytes)));
+  }
+  for (uint32_t n = count; n < *parts; ++n) {
+    out->push_back(platform::MakeKeyedRecord(PartKey(key, n + 1), ""));
+  }
+  *parts = count;
+}
+
+/// Stores records in as few calls as they fit into. A group is stored
+/// atomically. @param done Runs once all are durable.
+void Cell::StoreInCalls(std::vector<std::vector<std::string>> groups,
+                        std::function<void()> done) {
+  std::vector<std::string> records;
+  size_t bytes = 0;
+  for (auto& group : groups) {
+    size_t more = 0;
+    for (const auto& it : group) {
+      more += it.size() + platform::kRecordFrameBytes;
+    }
+    if (!records.empty() && bytes + more > options_.max_call_bytes) {
+      port_->StoreRecords(std::exchange(records, {}), [] {});
+      bytes = 0;
+    }
+    bytes += more;
+    std::move(group.begin(), group.end(), std::back_inserter(records));
+  }
+  port_->StoreRecords(std::move(records), std::move(done));
+}
+
 /// Stores the progress of changed jobs. Once it is durable, sends the starts it
 /// records and lets the ends it covers be acknowledged.
 void Cell::StoreChanges() {
@@ -130,12 +214,12 @@
   }
   auto starts = std::move(unsent_starts_);
   unsent_starts_.clear();
-  std::vector<std::string> records;
+  std::vector<std::vector<std::string>> records;
   for (const auto& id : changed_jobs_) {
     if (Job* job = FindJob(id); job != nullptr && job->progress_changed) {
       job->progress_changed = false;
-      records.push_back(
-          platform::MakeKeyedRecord("p:" + id.value, SerializeProgress(*job)));
+      AddRecords("p:" + id.value, SerializeProgress(*job), &job->progress_parts,
+                 &records.emplace_back());
     }
   }
   changed_jobs_.clear();
@@ -148,7 +232,7 @@
           {server->second.entry.incarnation, {it.first, it.second}});
     }
   }
-  port_->StoreRecords(std::move(records), [this, stored, starts] {
+  StoreInCalls(std::move(records), [this, stored, starts] {
     for (const auto& it : starts) {
       SendStart(it, now_);
     }
@@ -192,22 +276,45 @@
 }
 
 void Cell::Load(const std::string& key, const std::string& value, Time now) {
-  constexpr size_t kKindLength = 2;
   if (key.size() <= kKindLength || value.empty()) {
     return;
   }
   const std::string name = key.substr(kKindLength);
-  if (key.starts_with("s:")) {
+  if (key.starts_with("b:")) {
+    LoadBackend(BackendId(name), value, now);
+  } else if (key.find(kPartSeparator) != std::string::npos) {
+    loaded_parts_[key] = value;
+  } else if (const uint32_t parts = PartsOf(key, value); parts > 0) {
+    continued_[key] = parts;
+  } else if (key.starts_with("s:")) {
     LoadJob(JobId(name), value, now);
   } else if (key.starts_with("p:")) {
     LoadProgress(JobId(name), value);
-  } else if (key.starts_with("b:")) {
-    LoadBackend(BackendId(name), value, now);
   } else {
     LogEvent(Part::kPlacer, "record_unreadable", {{"key", key}});
   }
 }
 
+/// Loads the values that take several records. @pre All records were loaded.
+void Cell::LoadContinued(Time now) {
+  const auto parts = std::exchange(loaded_parts_, {});
+  const auto continued = std::exchange(continued_, {});
+  for (const auto& [key, count] : continued) {
+    std::string value;
+    for (uint32_t n = 1; n <= count; ++n) {
+      if (auto it = parts.find(PartKey(key, n)); it != parts.end()) {
+        value += it->second;
+      }
+    }
+    Load(key, value, now);
+  }
+  for (const auto& [key, count] : continued) {
+    if (Job* job = FindJob(JobId(key.substr(kKindLength)))) {
+      (key.starts_with("s:") ? job->body_parts : job->progress_parts) = count;
+    }
+  }
+}
+
 void Cell::LoadJob(const JobId& id, const std::string& value, Time now) {
   proto::JobRecord record;
   Job job;
@@ -362,6 +469,7 @@
 
 void Cell::OnLoaded(Time now) {
   loaded_at_ = now;
+  LoadContinued(now);
   for (auto& it : jobs_) {
     Job* job = &it.second;
     auto progress = loaded_progress_.find(it.first);
--- a/src/fake/memory_store.h
+++ b/src/fake/memory_store.h
@@ -21,6 +21,9 @@
  public:
   using Status = platform::StoreStatus;
 
+  /// Larger records are rejected as invalid.
+  static constexpr size_t kMaxRecordBytes = 256 << 10;
+
   /// Fault that the next calls meet.
   enum class FaultMode : uint8_t {
     kNone,
@@ -34,8 +37,13 @@
               std::function<void(platform::AppendResponse)> done) override {
     ++appends;
     platform::AppendResponse response;
+    const bool too_large =
+        std::any_of(append.records.begin(), append.records.end(),
+                    [](const auto& it) { return it.size() > kMaxRecordBytes; });
     if (fault_mode == FaultMode::kRejectCalls) {
       response.status = Status::kRefused;
+    } else if (too_large) {
+      response.status = Status::kInvalid;
     } else if (fault_mode != FaultMode::kDropCalls) {
       response = DoAppend(append);
       if (fault_mode == FaultMode::kDropResponses) {
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -65,6 +65,8 @@
       return 409;
     case StoreStatus::kExpired:
       return 410;
+    case StoreStatus::kInvalid:
+      return 400;
     default:
       return 503;
   }
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -12,6 +12,8 @@
 /// 400 ms.
 constexpr milliseconds kAppendTimeout{1500};
 constexpr milliseconds kRefusedPause{50};
+/// Delay before an append that the store takes for invalid is repeated.
+constexpr milliseconds kInvalidPause{1000};
 /// Delay before an append that overtook its predecessor is repeated.
 constexpr milliseconds kOutOfOrderPause{10};
 /// Most calls in flight. The store detects a repeated append only among the
@@ -21,8 +23,6 @@
 constexpr milliseconds kMinCallSpacing{20};
 /// The newest latency counts for 1 / this in the moving average.
 constexpr int kAverageDivisor = 4;
-/// Bytes of the store's framing per record.
-constexpr size_t kFrameBytes = 4;
 
 }  // namespace
 
@@ -65,7 +65,7 @@
   while (!queued_.empty()) {
     size_t more = 0;
     for (const auto& it : queued_.front().records) {
-      more += it.size() + kFrameBytes;
+      more += it.size() + platform::kRecordFrameBytes;
     }
     if (!out.batches.empty() && bytes + more > max_call_bytes_) {
       break;
@@ -195,6 +195,10 @@
     case platform::StoreStatus::kFull:
       call->send_at = now + kRefusedPause;
       return;
+    case platform::StoreStatus::kInvalid:
+      // Another owner would send the same: it is no reason to resign.
+      call->send_at = now + kInvalidPause;
+      return;
     default:
       on_fenced_();
   }
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -34,6 +34,8 @@
      "Shortest group membership TTL that the store accepts, in ms."},
     {"platform", "call_bytes", SettingType::kReal, "2097152", 1024, 1073741824,
      "Maximum size of the records in one call to the store, in bytes."},
+    {"platform", "record_bytes", SettingType::kReal, "262144", 1024, 1073741824,
+     "Maximum size of one record in the store, in bytes."},
     {"bounds", "hold_max_ms", SettingType::kReal, "10000", 500, 600000,
      "Longest lease that backend servers grant, in ms."},
     {"bounds", "revoke_ms", SettingType::kReal, "5000", 500, 600000,
--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -240,4 +240,36 @@
   CHECK(s.it.start_log.size() <= 4);
 }
 
+// A job's progress exceeded the largest record of the store. The refusal of the
+// append deposed each owner in turn, and the cell stood still.
+TEST(CellReport, LargeJobsAreStoredInSeveralRecords) {
+  constexpr int kServers = 8;
+  constexpr int kManyTasks = 60;
+  CellHarness it(kServers);
+  it.max_record_bytes = 1024;
+  it.StartOwner(2);
+  const std::string payload(2000, 'x');
+  it.Submit(kJob, R"({"spec":")" + payload + R"(","steps":[{"count":)" +
+                      std::to_string(kManyTasks) +
+                      R"(,"cpu":1000,"memMb":100,"estimateMs":1000}]})");
+  it.Advance(200);
+  CHECK_EQUAL(static_cast<size_t>(kManyTasks), it.start_log.size());
+  CHECK(it.port.largest_record <= it.max_record_bytes);
+  it.StartOwner(3);
+  it.Advance(500);
+  STRCMP_EQUAL("running", it.State(kJob).c_str());
+  CHECK_EQUAL(static_cast<size_t>(kManyTasks), it.start_log.size());
+  CHECK(it.start_log.back().order.payload == payload);
+  for (auto& backend : it.backends) {
+    EndAll(&backend.second, RunEnd::kDone);
+  }
+  it.Advance(500);
+  STRCMP_EQUAL("completed", it.State(kJob).c_str());
+  CHECK(it.port.largest_record <= it.max_record_bytes);
+  // The further records are removed with the job.
+  for (const auto& record : it.port.stored) {
+    CHECK(record.first.find('/') == std::string::npos);
+  }
+}
+
 }  // namespace bw::test
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -268,6 +268,23 @@
   CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "completed"; }));
 }
 
+// A body of the largest size allowed makes a record beyond the store's limit.
+// Its callers heard "outcome unknown" and the owners resigned in turn.
+TEST(Entry, JobOfTheLargestSizeIsServed) {
+  constexpr size_t kMaxBody = 262'144;
+  EntryFleet fleet(2, 2);
+  CHECK(fleet.Start());
+  std::string body = EntryJob(1, 100);
+  body.insert(
+      body.size() - 1,
+      R"(,"pad":")" + std::string(kMaxBody - body.size() - 9, 'x') + '"');
+  LONGS_EQUAL(kMaxBody, body.size());
+  LONGS_EQUAL(200, fleet.Call(0, "POST", Name(1), body).status);
+  CHECK(Eventually([&] { return fleet.State(1, Name(1)) == "completed"; }));
+  CHECK(Submit(fleet, 1, Name(2), 1, 100));
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
 // A SIGHUP that came before the process had blocked signals ended it.
 TEST(Entry, HangUpWhileItStartsDoesNotEndTheProcess) {
   EntryFleet fleet(1, 1);
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -409,6 +409,22 @@
   it.loop.Stop();
 }
 
+// A record that the store takes for invalid was taken for fencing: each owner
+// resigned, as it read and sent the same.
+TEST(RecordLog, InvalidRecordsDoNotDeposeTheOwner) {
+  LogFixture it(3);
+  it.loop.Post([&it] {
+    const std::string value(fake::MemoryStore::kMaxRecordBytes, 'x');
+    it.log->Append({platform::MakeKeyedRecord("a", value)},
+                   [&it] { ++it.done; });
+  });
+  it.loop.Start();
+  it.RunFor(100);
+  CHECK_EQUAL(0, it.done);
+  CHECK_EQUAL(0, it.fenced);
+  it.loop.Stop();
+}
+
 // With a slow store, records must be sent without waiting for the responses to
 // earlier ones, and still be confirmed in order.
 TEST(RecordLog, SlowAnswersDoNotHoldUpLaterRecords) {
--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -155,6 +155,7 @@
     CellOptions options;
     options.fencing_token = token;
     options.wall_ms = wall_ms;
+    options.max_record_bytes = max_record_bytes;
     cell = std::make_unique<Cell>(options, &port);
     cell->SetConfig(config);
     for (const auto& it : port.stored) {
@@ -294,6 +295,7 @@
   std::unique_ptr<Cell> cell;
   Time now{std::chrono::hours(1)};
   uint64_t wall_ms = 1'700'000'000'000;
+  size_t max_record_bytes = 256 << 10;
   bool store_enabled = true;  ///< False: the store accepts nothing.
   std::vector<FakeCellPort::SentStart> start_log;
   /// Starts sent to unreachable servers.
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -2,6 +2,7 @@
 // for the test to answer; stores records when the test asks for it.
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -88,6 +89,7 @@
       Batch batch = std::move(pending_batches.front());
       pending_batches.pop_front();
       for (const auto& it : batch.records) {
+        largest_record = std::max(largest_record, it.size());
         const auto record = platform::ReadKeyedRecord(it);
         if (record.value.empty()) {
           stored.erase(record.key);
@@ -116,6 +118,7 @@
   std::deque<Batch> pending_batches;
   std::map<std::string, std::string> stored;
   uint64_t last_batch = 0;
+  size_t largest_record = 0;  ///< Of those stored, in bytes.
 };
 
 }  // namespace bw::test
