Fix: [Entry] Calls in the last 200 ms before a stop got no response

Seen by callers: a connection that ends without a response as an instance stops. Cause: a stopping process accepted calls while it waited for its last responses to leave; those that needed longer were cut off. Ruled out: the time before, in which open calls keep the process waiting. Change: the front closes before that wait: new calls are refused at once, open ones are given up.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -316,6 +316,10 @@
   draining_ = true;
 }
 
+void Entry::Close() {
+  front_.Drain(BootClock::now());
+}
+
 bool Entry::IsBusy() const {
   return !draining_ || front_.OpenCalls() > 0 ||
          BootClock::now() - drain_began_ < kBalancerReactionTime;
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -44,6 +44,7 @@
   void Start(Kernel& kernel) override;
   void Drain() override;
   bool IsBusy() const override;
+  void Close() override;
   void Stop() override;
 
   /// Applies changed settings: those of the front immediately, those of the
--- a/src/kernel_base.h
+++ b/src/kernel_base.h
@@ -28,6 +28,10 @@
   /// Stops accepting new work. Thread-safe.
   virtual void Drain() {}
 
+  /// Refuses all further work and gives up what is unfinished, so that its
+  /// responses are sent before Stop. Thread-safe.
+  virtual void Close() {}
+
   /// Stops the service and joins its threads.
   virtual void Stop() {}
 };
@@ -68,6 +72,12 @@
     }
   }
 
+  void CloseAll() {
+    for (const auto& it : services_) {
+      it.second->Close();
+    }
+  }
+
   bool IsBusy() const {
     for (const auto& it : services_) {
       if (it.second->IsBusy()) {
--- a/src/process.cc
+++ b/src/process.cc
@@ -244,6 +244,7 @@
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   const bool cut = kernel->IsBusy();
+  kernel->CloseAll();
   std::this_thread::sleep_for(kResponseFlushDelay);
   kernel->StopAll();
   Log(Part::kKernel, LogLevel::kInfo, "Stopped{}.",
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -5,6 +5,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
+#include <thread>
+#include <vector>
+
 #include "../src/exit_type.h"
 #include "../src/text_func.h"
 #include "support/entry_fleet.h"
@@ -268,6 +272,49 @@
   CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "completed"; }));
 }
 
+/// Calls an instance until it is gone. @return Calls whose connection ended
+/// without a response, later than `slack` after they were sent.
+int CountUnansweredCalls(const EntryFleet& fleet,
+                         int caller,
+                         milliseconds slack) {
+  constexpr int kPauseUs = 60'000;
+  int out = 0;
+  for (int n = 0;; ++n) {
+    const Time sent = BootClock::now();
+    const auto result = fleet.Call(0, "POST", Name((caller + 1) * 100'000 + n),
+                                   EntryJob(1, 10));
+    if (result.delivery == net::DeliveryStatus::kNotSent) {
+      return out;
+    }
+    const bool unanswered = result.delivery == net::DeliveryStatus::kUnknown;
+    out += unanswered && BootClock::now() - sent > slack ? 1 : 0;
+    usleep(kPauseUs);
+  }
+}
+
+// The last instance stops, so that calls find no owner any more. Callers that
+// go on until the process is gone got no response to their last calls.
+TEST(Entry, CallsAreAnsweredUntilTheProcessIsGone) {
+  constexpr int kCallers = 6;
+  constexpr int kGraceS = 6;
+  constexpr milliseconds kSlack{100};
+  EntryFleet fleet(1, 1, kGraceS);
+  CHECK(fleet.Start());
+  std::atomic<int> unanswered{0};
+  {
+    std::vector<std::jthread> callers;
+    for (int n = 0; n < kCallers; ++n) {
+      callers.emplace_back([&fleet, &unanswered, n, kSlack] {
+        unanswered += CountUnansweredCalls(fleet, n, kSlack);
+      });
+    }
+    usleep(200'000);
+    fleet.Entry(0).Signal(SIGTERM);
+    CHECK(fleet.Entry(0).Wait(milliseconds(6000)) >= 0);
+  }
+  CHECK_EQUAL(0, unanswered);
+}
+
 // A body of the largest size allowed makes a record beyond the store's limit.
 // Its callers heard "outcome unknown" and the owners resigned in turn.
 TEST(Entry, JobOfTheLargestSizeIsServed) {
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -28,10 +28,11 @@
          std::to_string(ms == 0 ? 1000 : ms) + "}]}";
 }
 
-EntryFleet::EntryFleet(int instances, int backends)
+EntryFleet::EntryFleet(int instances, int backends, int grace_s)
     : ports_(FreePorts(1 + backends + instances * kPortsPerEntry)),
       first_entry_port_(ports_ + 1 + backends),
       backends_(backends),
+      grace_s_(grace_s),
       entries_(static_cast<size_t>(instances)) {
   std::string path = "/tmp/bw_entry_XXXXXX";
   directory_ = mkdtemp(path.data());
@@ -79,7 +80,7 @@
         std::string("mesh.host=127.0.0.1"),
         "mesh.first_port=" + std::to_string(port + 2),
         "platform.store=" + Local(ports_), "platform.advice=" + Local(ports_),
-        std::string("bounds.grace_s=4")}) {
+        "bounds.grace_s=" + std::to_string(grace_s_)}) {
     arguments.emplace_back("--set");
     arguments.push_back(it);
   }
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -17,7 +17,8 @@
 /// the accounts "t0" and "t1" with the API keys "k0" and "k1".
 class EntryFleet {
  public:
-  EntryFleet(int instances, int backends);
+  /// @param grace_s Seconds between SIGTERM and SIGKILL.
+  EntryFleet(int instances, int backends, int grace_s = 4);
 
   /// @return False if the instances do not serve calls in time.
   bool Start();
@@ -59,6 +60,7 @@
   int ports_ = 0;
   int first_entry_port_ = 0;
   int backends_ = 0;
+  int grace_s_ = 0;
   std::string directory_;
   ChildProcess platform_;
   std::vector<ChildProcess> entries_;
