Fix: [Log] A stalled reader of the log held up a stop until the process was killed

Seen by callers: calls cut off as an instance that was told to stop is killed at the end of its grace time (LOST), if nobody reads its standard output. Cause: lines of text were written by the calling thread; the main thread blocked in 'Draining.' before it drained anything. Ruled out: the drain itself, which had not begun. Change: lines of text are queued like the structured ones; the exit waits 0.5 s at most for the writer thread. Before: Entry.StalledLogDoesNotHoldUpAStop failed, still running after 4 s. After: passes in 3 of 3.

--- a/src/event_log.cc
+++ b/src/event_log.cc
@@ -1,5 +1,5 @@
 #include <atomic>
-#include <condition_variable>
+#include <future>
 #include <map>
 #include <mutex>
 #include <string>
@@ -22,6 +22,8 @@
 constexpr size_t kWriteBytes = 4096;
 /// Interval at which the writer thread writes the queued lines as one batch.
 constexpr milliseconds kFlushInterval{100};
+/// Longest wait for the last lines when the process stops.
+constexpr milliseconds kMaxStopWait{500};
 
 /// Writes lines on its own thread, so that a stalled reader of standard output
 /// leads to dropped lines but never blocks the caller.
@@ -32,12 +34,20 @@
   ~EventWriter() { Stop(); }
 
   /// Flushes the queued lines and refuses further ones.
-  void Stop() {
-    if (thread_.joinable()) {
-      thread_.request_stop();
-      ring_.Close();
-      thread_.join();
+  /// @return False if the writer thread is blocked; it is left behind.
+  bool Stop() {
+    if (!thread_.joinable()) {
+      return true;
     }
+    thread_.request_stop();
+    ring_.Close();
+    if (finished_.get_future().wait_for(kMaxStopWait) !=
+        std::future_status::ready) {
+      thread_.detach();
+      return false;
+    }
+    thread_.join();
+    return true;
   }
 
   void Write(std::string line) {
@@ -77,6 +87,7 @@
       Flush();
     }
     Flush();
+    finished_.set_value();
   }
 
   void Flush() {
@@ -103,6 +114,7 @@
   std::atomic<uint64_t> dropped_{0};  ///< Lines dropped since the last report.
   std::mutex mutex_;
   std::map<std::string, Budget> budgets_;  ///< By event name.
+  std::promise<void> finished_;            ///< Set when the thread ends.
   std::jthread thread_;
 };
 
@@ -116,10 +128,12 @@
 
 }  // namespace
 
-void StopEventLog() {
-  if (started) {
-    Writer().Stop();
-  }
+bool StopEventLog() {
+  return !started || Writer().Stop();
+}
+
+void QueueLogLine(const std::string& line) {
+  Writer().Write(line);
 }
 
 void LogEvent(Part part, const char* event, nlohmann::json fields) {
--- a/src/event_log_func.h
+++ b/src/event_log_func.h
@@ -11,7 +11,12 @@
 
 /// Flushes all queued lines and ends the writer thread. Events logged after
 /// this are dropped.
-void StopEventLog();
+/// @return False if the output has stalled: the writer thread is left behind,
+/// blocked, and the process must exit without flushing its output.
+bool StopEventLog();
+
+/// Queues one line of text.
+void QueueLogLine(const std::string& line);
 
 /// Queues one line. @param fields A JSON object; must not contain API keys or
 /// other secrets.
--- a/src/log.cc
+++ b/src/log.cc
@@ -5,8 +5,10 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <array>
+#include <atomic>
 #include <optional>
 
+#include "event_log_func.h"
 #include "log_func.h"
 #include "text_func.h"
 
@@ -23,6 +25,8 @@
     log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL,
     log4cplus::WARN_LOG_LEVEL, log4cplus::ERROR_LOG_LEVEL};
 
+std::atomic<bool> structured{false};
+
 const log4cplus::Logger& GetLogger(Part part) {
   static const auto loggers = [] {
     std::array<log4cplus::Logger, kPartCount> out;
@@ -88,6 +92,7 @@
       new log4cplus::ConsoleAppender(/*logToStdErr=*/false, true));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
   root.addAppender(appender);
+  structured = true;
 }
 
 const char* PartName(Part part) {
@@ -98,6 +103,14 @@
   return GetLogger(part).isEnabledFor(kLevels[static_cast<size_t>(level)]);
 }
 
+void WriteOrQueueLog(Part part, LogLevel level, const std::string& line) {
+  if (structured) {
+    QueueLogLine(line);
+  } else {
+    WriteLog(part, level, line);
+  }
+}
+
 void WriteLog(Part part, LogLevel level, const std::string& line) {
   GetLogger(part).forcedLog(kLevels[static_cast<size_t>(level)], line);
 }
--- a/src/log_func.h
+++ b/src/log_func.h
@@ -35,7 +35,7 @@
 bool SetUpLog(const std::string& levels);
 
 /// Switches logging to standard output without a prefix, for structured (JSON)
-/// lines. Call once, after SetUpLog.
+/// lines, through the event log's queue. Call once, after SetUpLog.
 void UseStructuredOutput();
 
 /// @return The name of the part in log lines and in the `log.levels` setting.
@@ -45,9 +45,14 @@
 /// Thread-safe.
 bool IsLogEnabled(Part part, LogLevel level);
 
-/// Writes one line regardless of the level. Thread-safe.
+/// Writes one line regardless of the level. Blocks while the output does.
+/// Thread-safe.
 void WriteLog(Part part, LogLevel level, const std::string& line);
 
+/// Writes one line regardless of the level. With structured output the line is
+/// queued, so that a stalled reader never blocks the caller. Thread-safe.
+void WriteOrQueueLog(Part part, LogLevel level, const std::string& line);
+
 /// Formats and writes one line if the level is enabled. Thread-safe.
 template <typename... Args>
 void Log(Part part,
@@ -55,7 +60,8 @@
          fmt::format_string<Args...> format,
          Args&&... args) {
   if (IsLogEnabled(part, level)) {
-    WriteLog(part, level, fmt::format(format, std::forward<Args>(args)...));
+    WriteOrQueueLog(part, level,
+                    fmt::format(format, std::forward<Args>(args)...));
   }
 }
 
--- a/src/process.cc
+++ b/src/process.cc
@@ -192,8 +192,9 @@
   } catch (const std::exception& e) {
     std::fprintf(stderr, "Uncaught exception: %s\n", e.what());
   }
-  StopEventLog();
-  std::fflush(nullptr);
+  if (StopEventLog()) {
+    std::fflush(nullptr);
+  }
   // Skip static destructors: those of log4cplus wait for its threads and hung
   // on the users' platform until the process was killed.
   std::quick_exit(code);
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -315,6 +315,26 @@
   CHECK_EQUAL(0, unanswered);
 }
 
+// The reader of the log stalls and the pipe to it is full. A process that was
+// told to stop waited for it in its first log line, and was killed with its
+// callers' calls at the end of its grace time.
+TEST(Entry, StalledLogDoesNotHoldUpAStop) {
+  constexpr int kLogBytes = 100'000;  // More than a pipe holds.
+  constexpr int kLineBytes = 150;
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  fleet.StallLog(0);
+  fleet.StartEntry(0);
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  for (int n = 0; n < kLogBytes / kLineBytes; ++n) {
+    fleet.Call(0, "GET", Name(n), "", "wrong-key");
+    usleep(3000);  // Stays below the rate limit of the line.
+  }
+  fleet.Entry(0).Signal(SIGTERM);
+  LONGS_EQUAL(0, fleet.Entry(0).Wait(milliseconds(4000)));
+}
+
 // A body of the largest size allowed makes a record beyond the store's limit.
 // Its callers heard "outcome unknown" and the owners resigned in turn.
 TEST(Entry, JobOfTheLargestSizeIsServed) {
--- a/test/soak_test.cc
+++ b/test/soak_test.cc
@@ -265,6 +265,9 @@
   void Restart(int n, Instance* it, Time now) {
     it->log_size = fleet_->Log(n).size();
     fleet_->StartEntry(n);
+    if (!fleet_->Entry(n).Running()) {
+      ledger_->OnFault(fmt::format("instance {} could not be started", n));
+    }
     it->state = State::kUp;
     if (Between(&random_, 0, 1) == 0) {
       it->hang_up_at = now + MsBetween(&random_, 0, 200);
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -1,5 +1,7 @@
 #include "entry_fleet.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cstdlib>
@@ -38,6 +40,23 @@
   directory_ = mkdtemp(path.data());
 }
 
+EntryFleet::~EntryFleet() {
+  for (const int it : stalled_logs_) {
+    close(it);
+  }
+}
+
+std::string EntryFleet::LogOf(int n) const {
+  return directory_ + "/e" + std::to_string(n) + ".log";
+}
+
+void EntryFleet::StallLog(int n) {
+  unlink(LogOf(n).c_str());
+  mkfifo(LogOf(n).c_str(), 0600);
+  stalled_logs_.push_back(
+      open(LogOf(n).c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
+}
+
 std::string EntryFleet::FrontOf(int n) const {
   return Local(first_entry_port_ + n * kPortsPerEntry);
 }
@@ -86,8 +105,8 @@
   }
   arguments.push_back("--settings=" + SettingsOf(n));
   std::ofstream(SettingsOf(n), std::ios::app).flush();
-  entries_[static_cast<size_t>(n)] = ChildProcess(
-      "bwentry", arguments, directory_ + "/e" + std::to_string(n) + ".log");
+  entries_[static_cast<size_t>(n)] =
+      ChildProcess("bwentry", arguments, LogOf(n));
 }
 
 std::string EntryFleet::SettingsOf(int n) const {
@@ -214,7 +233,7 @@
 }
 
 std::string EntryFleet::Log(int n) const {
-  std::ifstream file(directory_ + "/e" + std::to_string(n) + ".log");
+  std::ifstream file(LogOf(n));
   std::ostringstream out;
   out << file.rdbuf();
   return out.str();
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -20,6 +20,8 @@
   /// @param grace_s Seconds between SIGTERM and SIGKILL.
   EntryFleet(int instances, int backends, int grace_s = 4);
 
+  ~EntryFleet();
+
   /// @return False if the instances do not serve calls in time.
   bool Start();
   void StartEntry(int n);
@@ -52,15 +54,20 @@
   std::string Audit() const;
   /// @return The log output of instance `n`.
   std::string Log(int n) const;
+  /// From its next start on, nobody reads the log output of instance `n`.
+  /// Log() must not be called for it any more.
+  void StallLog(int n);
 
  private:
   std::string SettingsOf(int n) const;
+  std::string LogOf(int n) const;
   int FindOwner() const;
 
   int ports_ = 0;
   int first_entry_port_ = 0;
   int backends_ = 0;
   int grace_s_ = 0;
+  std::vector<int> stalled_logs_;  ///< Read ends of pipes.
   std::string directory_;
   ChildProcess platform_;
   std::vector<ChildProcess> entries_;
