--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -209,16 +209,16 @@
     it.cell->SetConfig(it.config);
     it.Submit(kJob, R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":500},)"
                     R"({"cpu":1000,"estimateMs":500,"dependsOn":[0]}]})");
-    backend().needs_ticket = true;
+    Backend().needs_ticket = true;
     it.config->queues.clear();
     it.cell->SetConfig(it.config);
     it.StartOwner(2);
     it.Advance(200);
-    EndAll(&backend(), RunEnd::kDone);
+    EndAll(&Backend(), RunEnd::kDone);
     it.Advance(1000);
   }
 
-  FakeBackend& backend() { return it.backends.begin()->second; }
+  FakeBackend& Backend() { return it.backends.begin()->second; }
 
   CellHarness it;
 };
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -303,6 +303,7 @@
   std::atomic<int> unanswered{0};
   {
     std::vector<std::jthread> callers;
+    callers.reserve(kCallers);
     for (int n = 0; n < kCallers; ++n) {
       callers.emplace_back([&fleet, &unanswered, n, kSlack] {
         unanswered += CountUnansweredCalls(fleet, n, kSlack);
--- a/test/soak_test.cc
+++ b/test/soak_test.cc
@@ -383,6 +383,7 @@
   Disruptor disruptor(&fleet, &ledger, seed);
   {
     std::vector<std::jthread> threads;
+    threads.reserve(kCallers);
     for (int n = 0; n < kCallers; ++n) {
       threads.emplace_back([&fleet, &ledger, n,
                             seed](const std::stop_token& it) {
