Codechange: [Cell] Each record is parsed once, and the record log fills the calls

Read as a newcomer: a new owner parsed every record of a job twice, to see whether it has further ones; and the cell divided its records among calls though RecordLog::NextCall does that for queued batches. Now there is a batch for each changed job, and no limit of a call in the cell. A start that was rejected is handled in a function of its own.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -42,7 +42,6 @@
       static_cast<size_t>(settings.Real("platform.call_bytes"));
   out.cell.max_record_bytes =
       static_cast<size_t>(settings.Real("platform.record_bytes"));
-  out.cell.max_call_bytes = out.max_call_bytes;
   out.grace = ms("bounds.grace_s", kMsPerSecond);
   out.membership.name = settings.Text("instance.name");
   out.membership.address = at(port);
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -43,8 +43,6 @@
   double far_factor = 3;  ///< Slowdown of a task far from its data.
   uint64_t wall_ms = 0;   ///< Wall clock when the cell is created.
   size_t max_record_bytes = 256 << 10;  ///< Largest record of the store.
-  /// Most bytes of records in one call of the store.
-  size_t max_call_bytes = 2 << 20;
 };
 
 /// Side effects of the cell, carried out by its owner. Responses are delivered
@@ -421,6 +419,10 @@
                       LiveRun* live,
                       Time sent,
                       Time now);
+  void OnStartRejected(Server* server,
+                       const RunRef& run,
+                       OrderResult result,
+                       Time now);
   void SendStop(Server* server, const RunRef& run, LiveRun* live, Time now);
 
   // cell_place.cc: placing.
@@ -527,8 +529,6 @@
                   const std::string& value,
                   uint32_t* parts,
                   std::vector<std::string>* out) const;
-  void StoreInCalls(std::vector<std::vector<std::string>> groups,
-                    std::function<void()> done);
   static std::string SerializeJob(const Job& job);
   std::string SerializeProgress(const Job& job) const;
   void LoadJob(const JobId& id, const std::string& value, Time now);
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -218,11 +218,19 @@
     OnStartUnknown(server, run, live, sent, now);
     return;
   }
+  OnStartRejected(server, run, result, now);
+}
+
+/// Handles a start that was certainly not executed.
+void Cell::OnStartRejected(Server* server,
+                           const RunRef& run,
+                           OrderResult result,
+                           Time now) {
   Job* job = nullptr;
   Step* step = nullptr;
   if (FindTask(run.task, &job, &step) != nullptr) {
     if (result == OrderResult::kNoTicket) {
-      step->advice.admitted.erase(backend);
+      step->advice.admitted.erase(server->entry.id);
       if (!job->policy.advice) {
         // Its queue requires tickets since the record was stored.
         job->policy.advice = kAssumedAdvice;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -1,9 +1,9 @@
 // The cell's persisted records, by key: "s:JOB" is a job as submitted, until it
 // ends; "p:JOB" is its progress, then its final state; "b:BACKEND" is a backend
-// server that may run tasks.
+// server that may run tasks. "KEY/1" and so on hold the value of a key that is
+// too large for one record.
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
 #include "cell_base.h"
@@ -37,19 +37,6 @@
   return out.SerializeAsString();
 }
 
-/// @return Number of further records that hold the value of a key.
-uint32_t PartsOf(const std::string& key, const std::string& value) {
-  proto::JobRecord job;
-  proto::JobProgress progress;
-  if (key.starts_with("s:") && job.ParseFromString(value)) {
-    return job.continued_in();
-  }
-  if (key.starts_with("p:") && progress.ParseFromString(value)) {
-    return progress.continued_in();
-  }
-  return 0;
-}
-
 std::string PackDone(const std::vector<bool>& done) {
   std::string out((done.size() + 7) / 8, '\0');
   for (size_t n = 0; n < done.size(); ++n) {
@@ -185,27 +172,6 @@
   *parts = count;
 }
 
-/// Stores records in as few calls as they fit into. A group is stored
-/// atomically. @param done Runs once all are durable.
-void Cell::StoreInCalls(std::vector<std::vector<std::string>> groups,
-                        std::function<void()> done) {
-  std::vector<std::string> records;
-  size_t bytes = 0;
-  for (auto& group : groups) {
-    size_t more = 0;
-    for (const auto& it : group) {
-      more += it.size() + platform::kRecordFrameBytes;
-    }
-    if (!records.empty() && bytes + more > options_.max_call_bytes) {
-      port_->StoreRecords(std::exchange(records, {}), [] {});
-      bytes = 0;
-    }
-    bytes += more;
-    std::move(group.begin(), group.end(), std::back_inserter(records));
-  }
-  port_->StoreRecords(std::move(records), std::move(done));
-}
-
 /// Stores the progress of changed jobs. Once it is durable, sends the starts it
 /// records and lets the ends it covers be acknowledged.
 void Cell::StoreChanges() {
@@ -214,12 +180,14 @@
   }
   auto starts = std::move(unsent_starts_);
   unsent_starts_.clear();
-  std::vector<std::vector<std::string>> records;
   for (const auto& id : changed_jobs_) {
     if (Job* job = FindJob(id); job != nullptr && job->progress_changed) {
       job->progress_changed = false;
+      // A batch for each job, as a call of the store may not hold all.
+      std::vector<std::string> records;
       AddRecords("p:" + id.value, SerializeProgress(*job), &job->progress_parts,
-                 &records.emplace_back());
+                 &records);
+      port_->StoreRecords(std::move(records), [] {});
     }
   }
   changed_jobs_.clear();
@@ -232,7 +200,7 @@
           {server->second.entry.incarnation, {it.first, it.second}});
     }
   }
-  StoreInCalls(std::move(records), [this, stored, starts] {
+  port_->StoreRecords({}, [this, stored, starts] {
     for (const auto& it : starts) {
       SendStart(it, now_);
     }
@@ -284,8 +252,6 @@
     LoadBackend(BackendId(name), value, now);
   } else if (key.find(kPartSeparator) != std::string::npos) {
     loaded_parts_[key] = value;
-  } else if (const uint32_t parts = PartsOf(key, value); parts > 0) {
-    continued_[key] = parts;
   } else if (key.starts_with("s:")) {
     LoadJob(JobId(name), value, now);
   } else if (key.starts_with("p:")) {
@@ -318,9 +284,13 @@
 void Cell::LoadJob(const JobId& id, const std::string& value, Time now) {
   proto::JobRecord record;
   Job job;
-  if (!record.ParseFromString(value) ||
-      platform::ReadBatchSpec(record.body(), &job.spec) !=
-          platform::SpecError::kNone) {
+  const bool parsed = record.ParseFromString(value);
+  if (parsed && record.continued_in() > 0) {
+    continued_["s:" + id.value] = record.continued_in();
+    return;
+  }
+  if (!parsed || platform::ReadBatchSpec(record.body(), &job.spec) !=
+                     platform::SpecError::kNone) {
     LogEvent(Part::kPlacer, "record_unreadable", {{"job", id.value}});
     return;
   }
@@ -352,6 +322,10 @@
     LogEvent(Part::kPlacer, "record_unreadable", {{"job", id.value}});
     return;
   }
+  if (record.continued_in() > 0) {
+    continued_["p:" + id.value] = record.continued_in();
+    return;
+  }
   if (record.state() != 0) {
     ended_[id] = {TeamId(record.team()), QueueId(record.queue()),
                   static_cast<JobState>(record.state()), record.ended_ms()};
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -78,7 +78,9 @@
   if (end.end == RunEnd::kDone) {
     server->strikes = 0;
   }
-  MarkStarted(end.run.task.job);
+  if (job != nullptr) {
+    job->started = true;
+  }
   if (task == nullptr || job->state != JobState::kActive ||
       task->phase == TaskPhase::kDone) {
     return;
--- a/src/platform/store.cc
+++ b/src/platform/store.cc
@@ -13,6 +13,7 @@
 
 using nlohmann::json;
 
+constexpr size_t kRecordLengthBytes = 4;
 constexpr size_t kOffsetBytes = 8;
 /// Timeout of calls without a long poll. A slow store responds after about
 /// 400 ms.
@@ -72,11 +73,11 @@
                                                      size_t at) {
   std::vector<std::string> out;
   while (at < bytes.size()) {
-    if (bytes.size() - at < kRecordFrameBytes) {
+    if (bytes.size() - at < kRecordLengthBytes) {
       return std::nullopt;
     }
-    const size_t length = ReadBigEndian(bytes, at, kRecordFrameBytes);
-    at += kRecordFrameBytes;
+    const size_t length = ReadBigEndian(bytes, at, kRecordLengthBytes);
+    at += kRecordLengthBytes;
     if (bytes.size() - at < length) {
       return std::nullopt;
     }
--- a/src/platform/store.h
+++ b/src/platform/store.h
@@ -15,9 +15,6 @@
 
 namespace bw::platform {
 
-/// Bytes that the store's framing adds to a record in a call.
-inline constexpr size_t kRecordFrameBytes = 4;
-
 /// Result of a call to the store.
 enum class StoreStatus : uint8_t {
   kOk,
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -23,6 +23,8 @@
 constexpr milliseconds kMinCallSpacing{20};
 /// The newest latency counts for 1 / this in the moving average.
 constexpr int kAverageDivisor = 4;
+/// Bytes of the store's framing per record.
+constexpr size_t kFrameBytes = 4;
 
 }  // namespace
 
@@ -65,7 +67,7 @@
   while (!queued_.empty()) {
     size_t more = 0;
     for (const auto& it : queued_.front().records) {
-      more += it.size() + platform::kRecordFrameBytes;
+      more += it.size() + kFrameBytes;
     }
     if (!out.batches.empty() && bytes + more > max_call_bytes_) {
       break;
--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -35,11 +35,9 @@
   PerpetualTask()
       : it(2), task{JobId(kJob), 0, 0, 0}, first(FirstServer(&it, task)) {
     const RunRef run = first.running.begin()->first;
-    first.reachable = false;  // Until the task runs elsewhere.
-    it.cell->DropBackend(first.entry.id);
+    it.cell->DropBackend(first.entry.id);  // The task runs elsewhere next.
     first.End(run, RunEnd::kDone);
     const auto ends = first.ended;
-    first.reachable = true;
     it.Advance(1000);
     first.ended = ends;
     it.cell->SetBackend(first.entry, it.now);
@@ -55,6 +53,38 @@
   FakeBackend& first;
 };
 
+/// The first of two steps of a job runs, on a queue with advice that is removed
+/// from the configuration.
+struct RemovedQueue {
+  explicit RemovedQueue(bool advice_when_accepted) : it(1) {
+    it.port.on_advice_query = [this](const FakeCellPort::AdviceQuery& query) {
+      platform::AdviceResponse response;
+      response.answered = true;
+      for (const auto& id : query.backends) {
+        response.recommended.push_back({id, "ticket"});
+      }
+      it.cell->OnAdviceResponse(query.step, query.backends, response, it.now);
+    };
+    if (advice_when_accepted) {
+      it.config->queues[0].advice = AdvicePolicy{10, 1, 2000};
+    }
+    it.cell->SetConfig(it.config);
+    it.Submit(kJob, R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":500},)"
+                    R"({"cpu":1000,"estimateMs":500,"dependsOn":[0]}]})");
+    Backend().needs_ticket = true;
+    it.config->queues.clear();
+    it.cell->SetConfig(it.config);
+    it.StartOwner(2);
+    it.Advance(200);
+    EndAll(&Backend(), RunEnd::kDone);
+    it.Advance(1000);
+  }
+
+  FakeBackend& Backend() { return it.backends.begin()->second; }
+
+  CellHarness it;
+};
+
 }  // namespace
 
 TEST_GROUP(CellReport){};
@@ -189,42 +219,6 @@
   STRCMP_EQUAL("running", it.State(kJob).c_str());
 }
 
-namespace {
-
-/// The first of two steps of a job runs, on a queue with advice that is removed
-/// from the configuration.
-struct RemovedQueue {
-  explicit RemovedQueue(bool advice_when_accepted) : it(1) {
-    it.port.on_advice_query = [this](const FakeCellPort::AdviceQuery& query) {
-      platform::AdviceResponse response;
-      response.answered = true;
-      for (const auto& id : query.backends) {
-        response.recommended.push_back({id, "ticket"});
-      }
-      it.cell->OnAdviceResponse(query.step, query.backends, response, it.now);
-    };
-    if (advice_when_accepted) {
-      it.config->queues[0].advice = AdvicePolicy{10, 1, 2000};
-    }
-    it.cell->SetConfig(it.config);
-    it.Submit(kJob, R"({"spec":"x","steps":[{"cpu":1000,"estimateMs":500},)"
-                    R"({"cpu":1000,"estimateMs":500,"dependsOn":[0]}]})");
-    Backend().needs_ticket = true;
-    it.config->queues.clear();
-    it.cell->SetConfig(it.config);
-    it.StartOwner(2);
-    it.Advance(200);
-    EndAll(&Backend(), RunEnd::kDone);
-    it.Advance(1000);
-  }
-
-  FakeBackend& Backend() { return it.backends.begin()->second; }
-
-  CellHarness it;
-};
-
-}  // namespace
-
 // After the removal of a queue with advice and a change of owner, the next step
 // of an accepted job was started without a ticket, again and again.
 TEST(CellReport, JobOfARemovedQueueKeepsItsAdvice) {
--- a/test/soak_test.cc
+++ b/test/soak_test.cc
@@ -15,6 +15,7 @@
 #include <set>
 #include <thread>
 
+#include "../src/exit_type.h"
 #include "support/entry_fleet.h"
 
 namespace bw::test {
@@ -28,8 +29,8 @@
 constexpr int kDefaultSeconds = 60;
 /// A connection that ends this soon after a request may take it along.
 constexpr milliseconds kLossSlack{200};
-/// Disruptions count for calls that begin this long after them.
-constexpr milliseconds kDisruptionEcho{3000};
+/// Calls that begin until this long after a disruption may be lost by it.
+constexpr milliseconds kDisruptionEffect{3000};
 /// SIGTERM to SIGKILL; as in EntryFleet's settings.
 constexpr milliseconds kGrace{4000};
 constexpr milliseconds kEndTimeout{14'000};
@@ -148,7 +149,7 @@
     const Time now = BootClock::now();
     if (result.delivery == net::DeliveryStatus::kUnknown &&
         now - sent > kLossSlack &&
-        !ledger_->IsDisrupted(instance_, sent - kDisruptionEcho)) {
+        !ledger_->IsDisrupted(instance_, sent - kDisruptionEffect)) {
       ledger_->OnFault(fmt::format("{} at instance {} got no response in {} ms",
                                    what, instance_, AgeMs(sent, now)));
     }
@@ -282,7 +283,7 @@
     if (code < 0) {
       ledger_->OnFault(fmt::format("instance {} did not stop in time", n));
       fleet_->Entry(n).Kill();
-    } else if (code > 1) {
+    } else if (code > ToInt(ExitCode::kFailed)) {  // That: calls were given up.
       ledger_->OnFault(
           fmt::format("instance {} stopped with code {}", n, code));
     }
