--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -272,6 +272,26 @@
   CHECK(Eventually([&] { return fleet.State(0, Name(2)) == "completed"; }));
 }
 
+// A backend server crashes before the owner has heard that a run ended there.
+// The end was taken note of by nobody, so the task runs again, which the audit
+// must allow: it is the one case in which a run may follow one that was done.
+TEST(Entry, TaskWhoseEndACrashLostRunsAgain) {
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  CHECK(Submit(fleet, 0, Name(1), 1, 1000));
+  CHECK(Eventually([&] { return fleet.AllRuns().size() == 1; }));
+  fleet.Entry(0).Signal(SIGSTOP);
+  CHECK(Eventually([&] { return fleet.AllRuns()[0]["how"] == "done"; }));
+  fleet.Control({{"crash", 0}});
+  fleet.Entry(0).Signal(SIGCONT);
+  CHECK(Eventually([&] { return fleet.State(0, Name(1)) == "completed"; }));
+  const Json runs = fleet.AllRuns();
+  LONGS_EQUAL(2, runs.size());
+  CHECK(runs[0]["forgotten"].get<bool>());
+  CHECK(!runs[1]["forgotten"].get<bool>());
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
 /// Calls an instance until it is gone. @return Calls whose connection ended
 /// without a response, later than `slack` after they were sent.
 int CountUnansweredCalls(const EntryFleet& fleet,
