Fix: [Entry] A relay that was told to stop could end by a fault

Seen by callers: nothing, unless they were connected to that instance; the process ended with a segmentation fault in place of code 0. Cause: Entry::Stop destroyed the HTTP client for backend servers before the mesh. Until the mesh was gone, calls that an owner handed to this relay, and calls of its own that the mesh reported as not sent, were given to the client. Change: the mesh ends first. It was last as a reply of the store could send an offer; that now goes through the core thread, which has ended by then. Why it works: the mesh's thread is the only one besides the core thread that gives calls to the client, and both have ended when the client does.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -97,8 +97,10 @@
   membership_.Start({[this](uint64_t generation) { owner_.OnGain(generation); },
                      [this] { owner_.OnLose(); },
                      [this](const std::string& to) {
-                       LogEvent(Part::kMember, "cell_offered", {{"to", to}});
-                       OfferCell(to, BootClock::now() + kMaxOfferTime);
+                       core_.Post([this, to] {
+                         LogEvent(Part::kMember, "cell_offered", {{"to", to}});
+                         OfferCell(to, BootClock::now() + kMaxOfferTime);
+                       });
                      }});
   core_.SetIdleCallback([this] { owner_.Idle(BootClock::now()); });
   core_.SetErrorCallback([this] { owner_.OnUnexpectedError(); });
@@ -330,9 +332,11 @@
   ready_server_.reset();
   metrics_server_.reset();
   core_.Stop();
+  // Before the HTTP clients: a peer's message may still need one. Their
+  // callbacks reach the mesh through the core thread only.
+  mesh_.reset();
   http_.reset();
   store_http_.reset();
-  mesh_.reset();  // Last, as replies of the store may send an offer.
 }
 
 }  // namespace bw
