Fix: [Net] Calls that outlived the HTTP server used its destroyed sockets

Cause: each responder held RESTinio's request handle, which holds the connection. A response sent after the server was destroyed, or only dropped then, used the io_context that was gone: undefined behaviour at a stop, while the core thread, the mesh or its pending calls still hold responders. Change: the server keeps the handles of open calls and drops them once its thread has ended; a responder names its call by number. Why it works: no handle leaves the server, so none outlives it.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,9 +1,9 @@
 #include "http_server.h"
 
 #include <algorithm>
-#include <atomic>
+#include <mutex>
 #include <restinio/all.hpp>
-#include <thread>
+#include <unordered_map>
 
 #include "../text_func.h"
 
@@ -57,24 +57,79 @@
   out.done();
 }
 
+/// The calls without a response. Their handles refer to the server's sockets,
+/// so none may outlive the server. Thread-safe.
+class OpenCalls {
+ public:
+  /// @return The call's number.
+  uint64_t Add(restinio::request_handle_t handle) {
+    std::lock_guard lock(mutex_);
+    handles_.emplace(++last_number_, std::move(handle));
+    return last_number_;
+  }
+
+  /// Sends the response unless there was one or the server has ended.
+  void Respond(uint64_t number, HttpResponse response) {
+    // Held while the response is sent, so that Close waits for it.
+    std::lock_guard lock(mutex_);
+    if (auto node = handles_.extract(number); !node.empty()) {
+      net::Respond(node.mapped(), std::move(response));
+    }
+  }
+
+  void Remove(uint64_t number) {
+    std::lock_guard lock(mutex_);
+    handles_.erase(number);
+  }
+
+  /// Gives up all calls.
+  void Close() {
+    std::lock_guard lock(mutex_);
+    handles_.clear();
+  }
+
+ private:
+  std::mutex mutex_;
+  std::unordered_map<uint64_t, restinio::request_handle_t> handles_;
+  uint64_t last_number_ = 0;
+};
+
+/// A call while its responder exists. Thread-safe.
+class OpenCall {
+ public:
+  OpenCall(std::shared_ptr<OpenCalls> calls, restinio::request_handle_t handle)
+      : calls_(std::move(calls)), number_(calls_->Add(std::move(handle))) {}
+  ~OpenCall() { calls_->Remove(number_); }
+  OpenCall(const OpenCall&) = delete;
+  OpenCall& operator=(const OpenCall&) = delete;
+
+  void Respond(HttpResponse response) {
+    calls_->Respond(number_, std::move(response));
+  }
+
+ private:
+  const std::shared_ptr<OpenCalls> calls_;
+  const uint64_t number_;
+};
+
 }  // namespace
 
 struct HttpServer::Impl {
+  std::shared_ptr<OpenCalls> open_calls = std::make_shared<OpenCalls>();
   restinio::running_server_handle_t<Traits> server;
 };
 
 HttpServer::HttpServer(HttpServerOptions options, HttpHandler handler)
     : impl_(std::make_unique<Impl>()) {
-  auto on_request =
-      [handler = std::move(handler)](restinio::request_handle_t handle) {
-        auto done = std::make_shared<std::atomic<bool>>(false);
-        handler(ToRequest(handle), [handle, done](HttpResponse response) {
-          if (!done->exchange(true)) {
-            Respond(handle, std::move(response));
-          }
-        });
-        return restinio::request_accepted();
-      };
+  auto on_request = [handler = std::move(handler), calls = impl_->open_calls](
+                        restinio::request_handle_t handle) {
+    const HttpRequest request = ToRequest(handle);
+    const auto call = std::make_shared<OpenCall>(calls, std::move(handle));
+    handler(request, [call](HttpResponse response) {
+      call->Respond(std::move(response));
+    });
+    return restinio::request_accepted();
+  };
   const auto address = SplitAddress(options.listen);
   impl_->server = restinio::run_async<Traits>(
       restinio::own_io_context(),
@@ -96,6 +151,10 @@
       1);
 }
 
-HttpServer::~HttpServer() = default;
+HttpServer::~HttpServer() {
+  impl_->server->stop();
+  impl_->server->wait();
+  impl_->open_calls->Close();
+}
 
 }  // namespace bw::net
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -16,7 +16,9 @@
   milliseconds read_timeout{10'000};  ///< Per request read or response write.
 };
 
-/// Serves requests until destroyed. All methods are thread-safe.
+/// Serves requests until destroyed. All methods are thread-safe. Calls without
+/// a response are then given up: their responders may still be called, and do
+/// nothing.
 class HttpServer {
  public:
   /// Binds the address and starts the server's thread.
