Codechange: [Test] Fleets of bwentry as deployed: rendered template, zones, an address each

An EntryFleet may run its instances as the users' platform does: with the settings file rendered from the template, its path in BILBERRYWING_BOOT, a loopback address for each instance and up to 26 zones. The stand-in's backend servers are spread over zones. No test uses it yet; existing ones are unchanged.

--- a/src/fake/fake_settings.h
+++ b/src/fake/fake_settings.h
@@ -23,8 +23,12 @@
 
 inline constexpr SettingDesc kServerSettings[] = {table::kLogLevels, kListen};
 
-inline constexpr SettingDesc kPlatformSettings[] = {table::kLogLevels, kListen,
-                                                    kCount};
+inline constexpr SettingDesc kPlatformSettings[] = {
+    table::kLogLevels,
+    kListen,
+    kCount,
+    {"fake", "zones", SettingType::kInt, "1", 1, 26,
+     "Availability zones of the servers: \"a\", \"b\" and so on."}};
 
 inline constexpr SettingDesc kRunnerSettings[] = {
     table::kLogLevels,
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -293,8 +293,14 @@
 /// A simulated backend server. Thread-safe.
 class Backend {
  public:
-  Backend(std::string id, std::string address, StoreServer* store)
-      : id_(std::move(id)), address_(std::move(address)), store_(store) {}
+  Backend(std::string id,
+          std::string address,
+          std::string zone,
+          StoreServer* store)
+      : id_(std::move(id)),
+        address_(std::move(address)),
+        zone_(std::move(zone)),
+        store_(store) {}
 
   void Serve(const net::HttpRequest& request, const net::Responder& respond) {
     std::lock_guard lock(mutex_);
@@ -376,7 +382,7 @@
     const Json entry = {
         {"service", "s"},
         {"address", address_},
-        {"zone", "a"},
+        {"zone", zone_},
         {"state", "ready"},
         {"sequence", ++announcements_},
         {"born", incarnation_},
@@ -492,6 +498,7 @@
 
   const std::string id_;
   const std::string address_;
+  const std::string zone_;
   StoreServer* const store_;
   std::mutex mutex_;
   bool silent_ = false;
@@ -511,13 +518,14 @@
 /// The store, the advice service and all backend servers of this process.
 class Platform {
  public:
-  Platform(const std::string& listen, int64_t count) {
+  Platform(const std::string& listen, int64_t count, int64_t zones) {
     const HostPort first = SplitAddress(listen);
     for (int64_t n = 0; n < count; ++n) {
       const std::string address =
           first.host + ":" + std::to_string(first.port + 1 + n);
-      backends_.push_back(
-          std::make_unique<Backend>("b" + std::to_string(n), address, &store_));
+      backends_.push_back(std::make_unique<Backend>(
+          "b" + std::to_string(n), address,
+          std::string(1, static_cast<char>('a' + n % zones)), &store_));
       net::HttpServerOptions options;
       options.listen = address;
       servers_.push_back(std::make_unique<net::HttpServer>(
@@ -614,7 +622,8 @@
   }
   BlockSignals();
   Platform platform(line->settings.Text("fake.listen"),
-                    line->settings.Int("fake.count"));
+                    line->settings.Int("fake.count"),
+                    line->settings.Int("fake.zones"));
   WaitForStopSignal();
   return 0;
 }
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -18,10 +18,27 @@
 constexpr milliseconds kStartTimeout{20'000};
 constexpr milliseconds kCallTimeout{4000};
 
+/// First port of an instance with an address of its own.
+constexpr int kDeployedPort = 7420;
+
 std::string Local(int port) {
   return "127.0.0.1:" + std::to_string(port);
 }
 
+/// @return "127.X.Y.", where X and Y differ between the processes that run at a
+/// time.
+std::string OwnNetwork() {
+  constexpr int kBits = 8;
+  constexpr int kMask = (1 << kBits) - 1;
+  const int pid = getpid();
+  return "127." + std::to_string(1 + ((pid >> kBits) & kMask) % kMask) + "." +
+         std::to_string(pid & kMask) + ".";
+}
+
+std::string ZoneOf(int n, int zones) {
+  return {1, static_cast<char>('a' + n % zones)};
+}
+
 }  // namespace
 
 std::string EntryJob(int count, int ms) {
@@ -30,12 +47,11 @@
          std::to_string(ms == 0 ? 1000 : ms) + "}]}";
 }
 
-EntryFleet::EntryFleet(int instances, int backends, int grace_s)
-    : ports_(FreePorts(1 + backends + instances * kPortsPerEntry)),
-      first_entry_port_(ports_ + 1 + backends),
-      backends_(backends),
-      grace_s_(grace_s),
-      entries_(static_cast<size_t>(instances)) {
+EntryFleet::EntryFleet(EntryFleetOptions options)
+    : options_(options),
+      ports_(
+          FreePorts(1 + options.backends + options.instances * kPortsPerEntry)),
+      entries_(static_cast<size_t>(options.instances + options.spare)) {
   std::string path = "/tmp/bw_entry_XXXXXX";
   directory_ = mkdtemp(path.data());
 }
@@ -57,15 +73,32 @@
       open(LogOf(n).c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC));
 }
 
+std::string EntryFleet::HostOf(int n) const {
+  return options_.as_deployed ? OwnNetwork() + std::to_string(n + 1)
+                              : "127.0.0.1";
+}
+
+int EntryFleet::PortOf(int n) const {
+  return options_.as_deployed
+             ? kDeployedPort
+             : ports_ + 1 + options_.backends + n * kPortsPerEntry;
+}
+
+std::string EntryFleet::AddressOf(int n, int offset) const {
+  return HostOf(n) + ":" + std::to_string(PortOf(n) + offset);
+}
+
 std::string EntryFleet::FrontOf(int n) const {
-  return Local(first_entry_port_ + n * kPortsPerEntry);
+  return AddressOf(n, 0);
 }
 
 bool EntryFleet::Start() {
-  platform_ = ChildProcess("bwfakeplatform",
-                           {"--set", "fake.listen=" + Local(ports_), "--set",
-                            "fake.count=" + std::to_string(backends_)},
-                           directory_ + "/platform.log");
+  platform_ =
+      ChildProcess("bwfakeplatform",
+                   {"--set", "fake.listen=" + Local(ports_), "--set",
+                    "fake.count=" + std::to_string(options_.backends), "--set",
+                    "fake.zones=" + std::to_string(options_.zones)},
+                   directory_ + "/platform.log");
   if (!Eventually([&] {
         net::HttpCall call;
         call.url = "http://" + Local(ports_) + "/truth";
@@ -74,14 +107,13 @@
     return false;
   }
   Configure(1, {"k0", "k1"});
-  for (size_t n = 0; n < entries_.size(); ++n) {
-    StartEntry(static_cast<int>(n));
+  for (int n = 0; n < options_.instances; ++n) {
+    StartEntry(n);
   }
   return Eventually(
       [&] {
-        for (size_t n = 0; n < entries_.size(); ++n) {
-          if (!IsReady(static_cast<int>(n)) ||
-              Call(static_cast<int>(n), "GET", "").status != 200) {
+        for (int n = 0; n < options_.instances; ++n) {
+          if (!IsReady(n) || Call(n, "GET", "").status != 200) {
             return false;
           }
         }
@@ -90,23 +122,66 @@
       kStartTimeout);
 }
 
-void EntryFleet::StartEntry(int n) {
-  const int port = first_entry_port_ + n * kPortsPerEntry;
-  std::vector<std::string> arguments;
+std::vector<std::string> EntryFleet::ArgumentsOf(int n) const {
+  std::vector<std::string> out;
   for (const std::string& it :
        {"instance.name=e" + std::to_string(n), std::string("instance.zone=a"),
-        "listen.front=" + Local(port), "listen.ready=" + Local(port + 1),
-        std::string("mesh.host=127.0.0.1"),
-        "mesh.first_port=" + std::to_string(port + 2),
+        "listen.front=" + AddressOf(n, 0), "listen.ready=" + AddressOf(n, 1),
+        "mesh.host=" + HostOf(n),
+        "mesh.first_port=" + std::to_string(PortOf(n) + 2),
         "platform.store=" + Local(ports_), "platform.advice=" + Local(ports_),
-        "bounds.grace_s=" + std::to_string(grace_s_)}) {
-    arguments.emplace_back("--set");
-    arguments.push_back(it);
+        "bounds.grace_s=" + std::to_string(options_.grace_s)}) {
+    out.emplace_back("--set");
+    out.push_back(it);
+  }
+  out.push_back("--settings=" + SettingsOf(n));
+  return out;
+}
+
+std::string EntryFleet::RenderTemplate(int n) const {
+  const std::map<std::string, std::string> values = {
+      {"nodeName", "e" + std::to_string(n)},
+      {"zone", ZoneOf(n, options_.zones)},
+      {"ip", HostOf(n)},
+      {"limits.cpuShare", "0.25"},
+      {"limits.cores", "1"},
+      {"limits.maxFds", "4100"},
+      {"listen.front", AddressOf(n, 0)},
+      {"listen.ready", AddressOf(n, 1)},
+      {"portRange.0", std::to_string(PortOf(n) + 2)},
+      {"platform.address", Local(ports_)},
+      {"advice", Local(ports_)},
+      {"platform.ttlMinMs", "1000"},
+      {"platform.callBytes", "2097152"},
+      {"timingBounds.holdMaxMs", "10000"},
+      {"timingBounds.revokeMs", "5000"},
+      {"timingBounds.graceS", std::to_string(options_.grace_s)},
+      {"timingBounds.status_s", "120"},
+      {"timingBounds.farX", "3"}};
+  std::ifstream file(BW_SETTINGS_TEMPLATE);
+  std::ostringstream read;
+  read << file.rdbuf();
+  std::string out = read.str();
+  for (size_t at = 0; (at = out.find("{{", at)) != std::string::npos;) {
+    const size_t end = out.find("}}", at);
+    const auto it = values.find(out.substr(at + 2, end - at - 2));
+    out.replace(at, end + 2 - at, it == values.end() ? "" : it->second);
+  }
+  return out;
+}
+
+void EntryFleet::StartEntry(int n) {
+  std::vector<std::string> arguments;
+  std::vector<std::string> environment;
+  if (options_.as_deployed) {
+    ChangeSettings(n, "");
+    environment.push_back("BILBERRYWING_BOOT=" + SettingsOf(n));
+  } else {
+    arguments = ArgumentsOf(n);
+    std::ofstream(SettingsOf(n), std::ios::app).flush();
   }
-  arguments.push_back("--settings=" + SettingsOf(n));
-  std::ofstream(SettingsOf(n), std::ios::app).flush();
   entries_[static_cast<size_t>(n)] =
-      ChildProcess("bwentry", arguments, LogOf(n));
+      ChildProcess("bwentry", arguments, LogOf(n), environment);
 }
 
 std::string EntryFleet::SettingsOf(int n) const {
@@ -114,7 +189,8 @@
 }
 
 void EntryFleet::ChangeSettings(int n, const std::string& text) const {
-  std::ofstream(SettingsOf(n), std::ios::trunc) << text;
+  std::ofstream(SettingsOf(n), std::ios::trunc)
+      << (options_.as_deployed ? RenderTemplate(n) : "") << text;
 }
 
 net::HttpResult EntryFleet::Call(int n,
@@ -140,8 +216,7 @@
 
 bool EntryFleet::IsReady(int n) const {
   net::HttpCall call;
-  call.url = "http://" + Local(first_entry_port_ + n * kPortsPerEntry + 1) +
-             "/v1/ready";
+  call.url = "http://" + AddressOf(n, 1) + "/v1/ready";
   return net::CallAndWait(call).status == 200;
 }
 
@@ -157,10 +232,7 @@
 int EntryFleet::FindOwner() const {
   for (size_t n = 0; n < entries_.size(); ++n) {
     net::HttpCall call;
-    call.url =
-        "http://" +
-        Local(first_entry_port_ + static_cast<int>(n) * kPortsPerEntry + 3) +
-        "/metrics";
+    call.url = "http://" + AddressOf(static_cast<int>(n), 3) + "/metrics";
     const auto result = net::CallAndWait(call);
     if (result.body.find("bw_owner 1") != std::string::npos) {
       return static_cast<int>(n);
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -13,12 +13,27 @@
 
 using Json = nlohmann::json;
 
-/// Runs `instances` processes of bwentry with one queue "/p/" on host "h" and
-/// the accounts "t0" and "t1" with the API keys "k0" and "k1".
+struct EntryFleetOptions {
+  int instances = 3;
+  int backends = 4;
+  int grace_s = 4;  ///< Seconds between SIGTERM and SIGKILL.
+  /// Runs instances as the users' platform does: each in its zone and with an
+  /// address of its own, with the settings file rendered from the template and
+  /// its path in the environment.
+  bool as_deployed = false;
+  int zones = 1;  ///< Of instances and backend servers, if `as_deployed`.
+  /// Instances that can be added later by StartEntry, if `as_deployed`.
+  int spare = 0;
+};
+
+/// Runs processes of bwentry with one queue "/p/" on host "h" and the accounts
+/// "t0" and "t1" with the API keys "k0" and "k1".
 class EntryFleet {
  public:
+  explicit EntryFleet(EntryFleetOptions options);
   /// @param grace_s Seconds between SIGTERM and SIGKILL.
-  EntryFleet(int instances, int backends, int grace_s = 4);
+  EntryFleet(int instances, int backends, int grace_s = 4)
+      : EntryFleet(EntryFleetOptions{instances, backends, grace_s}) {}
 
   ~EntryFleet();
 
@@ -26,7 +41,7 @@
   bool Start();
   void StartEntry(int n);
   /// Replaces the settings file of one instance without a signal to the
-  /// process.
+  /// process. If `as_deployed`, `text` is added to what the template gives.
   void ChangeSettings(int n, const std::string& text) const;
   ChildProcess& Entry(int n) { return entries_[static_cast<size_t>(n)]; }
 
@@ -62,11 +77,17 @@
   std::string SettingsOf(int n) const;
   std::string LogOf(int n) const;
   int FindOwner() const;
+  /// @return IP address and first port of instance `n`.
+  std::string HostOf(int n) const;
+  int PortOf(int n) const;
+  /// @return The address of a server of instance `n`, by its offset from the
+  /// first port.
+  std::string AddressOf(int n, int offset) const;
+  std::string RenderTemplate(int n) const;
+  std::vector<std::string> ArgumentsOf(int n) const;
 
+  const EntryFleetOptions options_;
   int ports_ = 0;
-  int first_entry_port_ = 0;
-  int backends_ = 0;
-  int grace_s_ = 0;
   std::vector<int> stalled_logs_;  ///< Read ends of pipes.
   std::string directory_;
   ChildProcess platform_;
--- a/test/support/process.cc
+++ b/test/support/process.cc
@@ -51,9 +51,14 @@
 
 ChildProcess::ChildProcess(const std::string& binary,
                            const std::vector<std::string>& arguments,
-                           const std::string& output) {
+                           const std::string& output,
+                           const std::vector<std::string>& environment) {
   std::vector<std::string> line = {std::string(BW_BIN_DIR) + "/" + binary};
   line.insert(line.end(), arguments.begin(), arguments.end());
+  std::vector<std::string> variables = environment;
+  for (char** it = environ; *it != nullptr; ++it) {
+    variables.emplace_back(*it);
+  }
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(),
@@ -66,7 +71,7 @@
   posix_spawnattr_setsigmask(&attributes, &none);
   posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
   if (posix_spawn(&pid_, line[0].c_str(), &actions, &attributes,
-                  MakeArgv(&line).data(), environ) != 0) {
+                  MakeArgv(&line).data(), MakeArgv(&variables).data()) != 0) {
     pid_ = -1;
   }
   posix_spawnattr_destroy(&attributes);
--- a/test/support/process.h
+++ b/test/support/process.h
@@ -17,9 +17,11 @@
   ChildProcess() = default;
   /// Starts `binary` of the build with `arguments`. Standard output and error
   /// are appended to the file `output`.
+  /// @param environment Further variables, as "NAME=text".
   ChildProcess(const std::string& binary,
                const std::vector<std::string>& arguments,
-               const std::string& output);
+               const std::string& output,
+               const std::vector<std::string>& environment = {});
   ~ChildProcess();
   ChildProcess(ChildProcess&& it) noexcept;
   ChildProcess& operator=(ChildProcess&& it) noexcept;
