--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -69,6 +69,25 @@
   STRCMP_EQUAL("", fleet.Audit().c_str());
 }
 
+TEST(Entry, FleetWithSettingsFromTheTemplateServesAllZones) {
+  EntryFleet fleet(EntryFleetOptions{.instances = 4,
+                                     .backends = 8,
+                                     .grace_s = 6,
+                                     .as_deployed = true,
+                                     .zones = 4});
+  CHECK(fleet.Start());
+  for (int n = 0; n < 4; ++n) {
+    fleet.ChangeSettings(n, "revoke_ms = 4000\n");
+    fleet.Entry(n).Signal(SIGHUP);
+    LONGS_EQUAL(200, fleet.Call(n, "POST", Name(n), EntryJob(4, 100)).status);
+  }
+  for (int n = 0; n < 4; ++n) {
+    CHECK(Eventually([&] { return fleet.State(n, Name(n)) == "completed"; }));
+    STRCMP_CONTAINS(R"("in_force":["bounds.revoke_ms"])", fleet.Log(n).c_str());
+  }
+  STRCMP_EQUAL("", fleet.Audit().c_str());
+}
+
 TEST(Entry, InvalidCallsGetTheMatchingError) {
   EntryFleet fleet(2, 1);
   CHECK(fleet.Start());
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -36,7 +36,30 @@
 }
 
 std::string ZoneOf(int n, int zones) {
-  return {1, static_cast<char>('a' + n % zones)};
+  return std::string(1, static_cast<char>('a' + n % zones));
+}
+
+/// Replaces the lines of `settings` that set the same keys as those of `text`.
+/// @pre Keys differ between sections.
+std::string ReplaceSettings(const std::string& settings,
+                            const std::string& text) {
+  const auto key_of = [](const std::string& line) {
+    return line.substr(0, line.find(" = "));
+  };
+  std::map<std::string, std::string> changed;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (line.find(" = ") != std::string::npos) {
+      changed[key_of(line)] = line;
+    }
+  }
+  std::string out;
+  std::istringstream all(settings);
+  for (std::string line; std::getline(all, line);) {
+    const auto it = changed.find(key_of(line));
+    out += (it == changed.end() ? line : it->second) + "\n";
+  }
+  return out;
 }
 
 }  // namespace
@@ -189,8 +212,9 @@
 }
 
 void EntryFleet::ChangeSettings(int n, const std::string& text) const {
-  std::ofstream(SettingsOf(n), std::ios::trunc)
-      << (options_.as_deployed ? RenderTemplate(n) : "") << text;
+  std::string out =
+      options_.as_deployed ? ReplaceSettings(RenderTemplate(n), text) : text;
+  std::ofstream(SettingsOf(n), std::ios::trunc) << out;
 }
 
 net::HttpResult EntryFleet::Call(int n,
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -41,7 +41,7 @@
   bool Start();
   void StartEntry(int n);
   /// Replaces the settings file of one instance without a signal to the
-  /// process. If `as_deployed`, `text` is added to what the template gives.
+  /// process. If `as_deployed`, `text` replaces what the template sets.
   void ChangeSettings(int n, const std::string& text) const;
   ChildProcess& Entry(int n) { return entries_[static_cast<size_t>(n)]; }
 
