--- a/test/entry_stop_test.cc
+++ b/test/entry_stop_test.cc
@@ -30,7 +30,7 @@
     }
   }
 
-  int sent() const { return sent_; }
+  int Sent() const { return sent_; }
 
  private:
   proto::Envelope MakeRequest() const {
@@ -73,8 +73,8 @@
     Kernel kernel;
     Entry entry(options);
     entry.Start(kernel);
-    const int before = calls.sent();
-    CHECK(Eventually([&] { return calls.sent() > before + 100; }));
+    const int before = calls.Sent();
+    CHECK(Eventually([&] { return calls.Sent() > before + 100; }));
     entry.Drain();
     entry.Close();
     entry.Stop();
