Fix: [Job] A cancelled job was shown as ended until its record was read back

Cause: a cancelled job is dropped once its tasks have stopped; the state is then taken from the replayed record, which may not have been read back. Change: the board remembers cancelled jobs until their record is read. Why it works: the state no longer depends on when the record arrives.

--- a/src/job_board.cc
+++ b/src/job_board.cc
@@ -123,6 +123,7 @@
       return {ErrorCode::kNotOwner, 0, {}, {}, kRetryAfterMs, {}};
     }
     AppendTaskRecord(JobRecordKind::kCancelled, {id, 0});
+    unread_cancels_.insert(id);
     Cancel(job);
     job = FindJob(id);  // Erased if none of its tasks was on a worker.
   }
@@ -136,7 +137,7 @@
     counts["failed"] = static_cast<uint32_t>(record->second.failed.size());
   }
   const bool cancelled =
-      record->second.cancelled || (job != nullptr && job->cancelled);
+      record->second.cancelled || unread_cancels_.contains(id);
   const char* state = cancelled               ? "cancelled"
                       : job == nullptr        ? "ended"
                       : counts["running"] > 0 ? "running"
@@ -175,6 +176,8 @@
         job->tasks[event.task].state == TaskState::kLogging) {
       SendStart(key);
     }
+  } else if (event.kind == JobRecordKind::kCancelled) {
+    unread_cancels_.erase(event.job);
   }
 }
 
@@ -209,6 +212,7 @@
   may_inherit_work_ = inherits;
   jobs_.clear();
   waiting_.clear();
+  unread_cancels_.clear();
   for (auto& it : workers_) {
     while (!it.second.tasks.empty()) {
       Unreserve(&it.second, it.second.tasks.begin()->first);
--- a/src/job_board_base.h
+++ b/src/job_board_base.h
@@ -183,6 +183,8 @@
   std::map<std::string, Worker> workers_;
   std::map<JobId, ActiveJob> jobs_;
   std::set<TaskKey> waiting_;  ///< Tasks to be placed.
+  /// Cancelled jobs whose record has not been read back yet.
+  std::set<JobId> unread_cancels_;
   /// Replies of submitted jobs whose records have not been read back yet.
   std::map<JobId, OutcomeReply> pending_submits_;
 };
--- a/test/job_board_test.cc
+++ b/test/job_board_test.cc
@@ -87,6 +87,29 @@
 
 TEST_GROUP(JobBoard){};
 
+// The record of a cancellation is read back later than the last task ends.
+TEST(JobBoard, CancelledJobIsNeverShownAsEnded) {
+  Fixture f;
+  f.Submit("j1", "q", JobKind::kService, 1, 1000);
+  f.ConfirmAllStarts();
+  f.port.append_status = platform::AppendStatus::kUnknown;
+  const auto state = [&](bool cancel) {
+    const auto outcome = f.board.Query(JobId("j1"), TeamId("t0"), cancel);
+    return Json::parse(outcome.body).value("state", "");
+  };
+  STRCMP_EQUAL("cancelled", state(true).c_str());
+  f.Advance(3000);
+  CHECK(f.SendReport(Json::array({Fixture::Task("j1/0", true, false)})));
+  STRCMP_EQUAL("cancelled", state(false).c_str());
+  f.port.append_status = platform::AppendStatus::kStored;
+  JobEvent event;
+  event.kind = JobRecordKind::kCancelled;
+  event.job = JobId("j1");
+  ApplyJobRecord(&f.port.jobs, f.port.jobs.version, WriteJobEvent(event));
+  f.board.OnEvent(event);
+  STRCMP_EQUAL("cancelled", state(false).c_str());
+}
+
 TEST(JobBoard, NeverMoreThanTheWorkerHolds) {
   Fixture fixture;
   fixture.Submit("j0.a", "q", JobKind::kBatch, 5, 2000);
