Feature: [Test] The soak plays herds of kills, stops and reloads on a fleet as deployed

Nine instances in four zones with settings from the template, 16 backend servers, 12 callers (5, 8 and 6 before). Every 5 to 10 s 60% of the instances are killed, told to stop or get four SIGHUPs at once with new settings, or all are killed. The end check asks for each job at least once: with many jobs the last ones were never asked for and counted as not completed.

--- a/test/soak_test.cc
+++ b/test/soak_test.cc
@@ -23,9 +23,13 @@
 
 using Random = std::mt19937_64;
 
-constexpr int kInstances = 5;
-constexpr int kBackends = 8;
-constexpr int kCallers = 6;
+constexpr int kInstances = 9;
+constexpr int kBackends = 16;
+constexpr int kZones = 4;
+constexpr int kCallers = 12;
+/// SIGHUPs that an instance gets at once, and the longest pause between them.
+constexpr int kHangUpsAtOnce = 4;
+constexpr int64_t kMaxHangUpPauseMs = 8;
 constexpr int kDefaultSeconds = 60;
 /// A connection that ends this soon after a request may take it along.
 constexpr milliseconds kLossSlack{200};
@@ -180,6 +184,10 @@
     if (now >= next_platform_at_) {
       DisruptPlatform(now);
     }
+    if (now >= next_herd_at_) {
+      next_herd_at_ = now + MsBetween(&random_, 5000, 10'000);
+      DisruptHerd(now);
+    }
   }
 
   /// Ends all disruptions and checks the processes.
@@ -229,14 +237,18 @@
     }
   }
 
+  /// Nothing can keep a signal from ending a process before its own code runs.
+  bool RunsItsOwnCode(int n, const Instance& it) const {
+    return fleet_->Log(n).size() > it.log_size;
+  }
+
   void TickInstance(int n, Time now) {
     Instance& it = instances_[static_cast<size_t>(n)];
     if (it.state == State::kUp) {
       CheckRunning(n);
     }
-    // Nothing can keep a signal from ending a process before its own code runs.
     if (it.hang_up_at != kNever && now >= it.hang_up_at &&
-        fleet_->Log(n).size() > it.log_size) {
+        RunsItsOwnCode(n, it)) {
       it.hang_up_at = kNever;
       if (it.state == State::kUp) {
         fleet_->Entry(n).Signal(SIGHUP);
@@ -291,18 +303,62 @@
     it->next_at = now + MsBetween(&random_, 0, 1000);
   }
 
+  void Stop(int n, Instance* it, Time now) {
+    fleet_->Entry(n).Signal(SIGTERM);
+    it->state = State::kStopping;
+    it->kill_at = now + kGrace;
+  }
+
+  void Kill(int n, Instance* it, Time now) {
+    ledger_->Disrupt(n, now + milliseconds(1500));
+    fleet_->Entry(n).Kill();
+    it->state = State::kDown;
+    it->next_at = now + MsBetween(&random_, 0, 1000);
+  }
+
+  void ChangeSettings(int n) {
+    fleet_->ChangeSettings(n, fmt::format("[bounds]\nrevoke_ms = {}\n",
+                                          Between(&random_, 4000, 6000)));
+    fleet_->Entry(n).Signal(SIGHUP);
+  }
+
+  /// Does the same to most instances that are up, or kills them all.
+  void DisruptHerd(Time now) {
+    constexpr int64_t kSharePercent = 60;
+    const int64_t kind = Between(&random_, 0, 3);
+    for (int n = 0; n < kInstances; ++n) {
+      Instance& it = instances_[static_cast<size_t>(n)];
+      if (it.state != State::kUp || !RunsItsOwnCode(n, it) ||
+          (kind != 0 && Between(&random_, 0, 99) >= kSharePercent)) {
+        continue;
+      }
+      switch (kind) {
+        case 2:
+          Stop(n, &it, now);
+          break;
+        case 3:
+          HangUpAtOnce(n);
+          break;
+        default:
+          Kill(n, &it, now);
+      }
+    }
+  }
+
+  void HangUpAtOnce(int n) {
+    for (int i = 0; i < kHangUpsAtOnce; ++i) {
+      ChangeSettings(n);
+      std::this_thread::sleep_for(MsBetween(&random_, 0, kMaxHangUpPauseMs));
+    }
+  }
+
   void Disrupt(int n, Instance* it, Time now) {
     switch (Between(&random_, 0, 4)) {
       case 0:
-        fleet_->Entry(n).Signal(SIGTERM);
-        it->state = State::kStopping;
-        it->kill_at = now + kGrace;
+        Stop(n, it, now);
         return;
       case 1:
-        ledger_->Disrupt(n, now + milliseconds(1500));
-        fleet_->Entry(n).Kill();
-        it->state = State::kDown;
-        it->next_at = now + MsBetween(&random_, 0, 1000);
+        Kill(n, it, now);
         return;
       case 2:
         it->next_at = now + MsBetween(&random_, 500, 4000);
@@ -311,9 +367,7 @@
         it->state = State::kFrozen;
         return;
       default:
-        fleet_->ChangeSettings(n, fmt::format("[bounds]\nrevoke_ms = {}\n",
-                                              Between(&random_, 4000, 6000)));
-        fleet_->Entry(n).Signal(SIGHUP);
+        ChangeSettings(n);
     }
   }
 
@@ -354,6 +408,7 @@
   Random random_;
   std::array<Instance, kInstances> instances_;
   Time next_platform_at_ = BootClock::now() + milliseconds(2000);
+  Time next_herd_at_ = BootClock::now() + milliseconds(5000);
   bool platform_disrupted_ = false;
   int64_t silent_ = 0;
   int version_ = 1;
@@ -378,7 +433,10 @@
       static_cast<uint64_t>(NumberFromEnvironment("BW_SOAK_SEED", 1));
   const milliseconds duration{
       1000 * NumberFromEnvironment("BW_SOAK_SECONDS", kDefaultSeconds)};
-  EntryFleet fleet(kInstances, kBackends);
+  EntryFleet fleet({.instances = kInstances,
+                    .backends = kBackends,
+                    .as_deployed = true,
+                    .zones = kZones});
   CHECK(fleet.Start());
   Ledger ledger;
   Disruptor disruptor(&fleet, &ledger, seed);
@@ -405,10 +463,10 @@
   const Time limit = BootClock::now() + kEndTimeout;
   for (const auto& job : accepted) {
     std::string state;
-    while (state != "completed" && BootClock::now() < limit) {
+    do {  // Each job is asked for, however long the others took.
       state = fleet.State(
           static_cast<int>(std::hash<std::string>()(job) % kInstances), job);
-    }
+    } while (state != "completed" && BootClock::now() < limit);
     STRCMP_EQUAL((job + " completed").c_str(), (job + " " + state).c_str());
   }
   disruptor.CheckProcesses();
