Feature: [Kernel] A process that ends by a fault or an uncaught exception says so

Now a fault writes one structured line with signal, thread and stack, and an exception that nobody catches one with its text; what ends the process stays the same. Threads have names. Nothing is written if it would block. Entry.ProcessThatEndsByAFaultSaysSo: SIGSEGV and SIGABRT, found in the log, the exit still by that signal.

--- a/src/process.cc
+++ b/src/process.cc
@@ -9,6 +9,7 @@
 #include <system_error>
 #include <thread>
 
+#include "crash_report_func.h"
 #include "event_log_func.h"
 #include "log_func.h"
 #include "process_func.h"
@@ -186,6 +187,7 @@
 }
 
 void RunMain(int (*main)(int, const char**), int argc, const char** argv) {
+  InstallCrashReport();
   int code = ToInt(ExitCode::kFailed);
   try {
     code = main(argc, argv);
--- a/src/thread_cpu.cc
+++ b/src/thread_cpu.cc
@@ -40,6 +40,7 @@
 ScopedThreadCpu::ScopedThreadCpu(const char* name) {
   NamedClock added{name};
   pthread_getcpuclockid(pthread_self(), &added.clock);
+  pthread_setname_np(pthread_self(), name);
   Registry& registry = Threads();
   std::lock_guard lock(registry.mutex);
   number_ = ++registry.last_number;
--- a/src/thread_cpu_func.h
+++ b/src/thread_cpu_func.h
@@ -10,6 +10,7 @@
 /// Includes the calling thread in ReadThreadCpu while it exists.
 class ScopedThreadCpu {
  public:
+  /// @param name Also shown by tools of the system; at most 15 characters.
   explicit ScopedThreadCpu(const char* name);
   ~ScopedThreadCpu();
   ScopedThreadCpu(const ScopedThreadCpu&) = delete;
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -1,6 +1,7 @@
 // Tests bwentry as real processes against a stand-in of the users' platform.
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
+#include <fmt/format.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -358,6 +359,23 @@
 // The reader of the log stalls and the pipe to it is full. A process that was
 // told to stop waited for it in its first log line, and was killed with its
 // callers' calls at the end of its grace time.
+TEST(Entry, ProcessThatEndsByAFaultSaysSo) {
+  constexpr int kKilledBy = 128;  // As a shell reports it.
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  for (const int it : {SIGSEGV, SIGABRT}) {
+    fleet.Entry(0).Signal(it);
+    LONGS_EQUAL(kKilledBy + it, fleet.Entry(0).Wait(milliseconds(5000)));
+    STRCMP_CONTAINS(
+        fmt::format(R"({{"event":"process_fault","part":"kernel","signal":{})",
+                    it)
+            .c_str(),
+        fleet.Log(0).c_str());
+    fleet.StartEntry(0);
+    CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  }
+}
+
 TEST(Entry, StalledLogDoesNotHoldUpAStop) {
   constexpr int kLogBytes = 100'000;  // More than a pipe holds.
   constexpr int kLineBytes = 150;
