--- a/src/relay_client.cc
+++ b/src/relay_client.cc
@@ -1,5 +1,7 @@
 #include "relay_client_base.h"
 
+#include <sodium.h>
+
 #include <algorithm>
 
 #include "event_log_func.h"
@@ -21,6 +23,12 @@
 
 }  // namespace
 
+/// Numbers start at random: relays may still send the results of the calls of a
+/// former process at this address.
+RelayClient::RelayClient(net::HttpClient* direct) : direct_(direct) {
+  randombytes_buf(&last_number_, sizeof(last_number_));
+}
+
 void RelayClient::SetRelays(RelaysByZone relays, const std::string& reply_to) {
   reply_to_ = reply_to;
   if (relays == relays_) {
--- a/src/relay_client_base.h
+++ b/src/relay_client_base.h
@@ -25,7 +25,7 @@
 class RelayClient {
  public:
   /// @param direct Sends the calls that no relay sends. @pre Outlives this.
-  explicit RelayClient(net::HttpClient* direct) : direct_(direct) {}
+  explicit RelayClient(net::HttpClient* direct);
 
   void SetMesh(net::Mesh* mesh) { mesh_ = mesh; }
   /// Sets the relays and this instance's mesh address.
@@ -69,7 +69,7 @@
   RelaysByZone relays_;
   std::string reply_to_;
   Outbox outbox_;
-  uint64_t last_number_ = 0;
+  uint64_t last_number_ = 0;  ///< Of a call; starts at random.
   Time next_expiry_ = kNever;
   std::mutex mutex_;  ///< Guards the members below.
   std::unordered_map<uint64_t, Pending> pending_;
--- /dev/null
+++ b/test/lost_test.cc
@@ -0,0 +1,141 @@
+// Tests of orders of events after which accepted work would be lost or stand
+// still: replies that come late or in another order, a change of owner or of
+// the configuration in between, and calls that cross each other.
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <thread>
+
+#include "../src/cell_base.h"
+#include "../src/fake/memory_store.h"
+#include "../src/membership_base.h"
+#include "../src/relay_client_base.h"
+#include "support/cell_harness.h"
+
+namespace bw::test {
+namespace {
+
+const char* const kJob = "00000000000000c1";
+const char* const kOtherJob = "00000000000000c2";
+constexpr const char* kGroup = "bilberrywing-cell";
+
+/// A store whose replies to joins overtake each other, or do not assign the
+/// cell for a moment.
+class ReorderingStore : public fake::MemoryStore {
+ public:
+  void Join(const platform::GroupMember& member,
+            std::function<void(platform::JoinResponse)> done) override {
+    if (member.group == kGroup && withhold > 0) {
+      --withhold;
+      platform::JoinResponse none;
+      none.status = Status::kOk;
+      none.generation = groups[kGroup].generation;
+      responses.push_back([done, none] { done(none); });
+      return;
+    }
+    if (member.group != kGroup || hold == 0) {
+      MemoryStore::Join(member, std::move(done));
+      return;
+    }
+    if (--hold > 0) {
+      held = std::move(done);
+      return;
+    }
+    MemoryStore::Join(member, done);
+    platform::JoinResponse old;
+    old.status = Status::kOk;
+    old.generation = groups[kGroup].generation;
+    responses.push_back([late = std::move(held), old] { late(old); });
+  }
+
+  int withhold = 0;  ///< So many replies do not assign the cell.
+  int hold = 0;      ///< 2: the next reply is overtaken by the one after it.
+  std::function<void(platform::JoinResponse)> held;
+};
+
+/// One instance's membership; the store responds every 5 ms.
+struct Instance {
+  ReorderingStore store;
+  EventLoop loop{milliseconds(5), milliseconds(5000),
+                 [this] {
+                   store.RespondToAll();
+                   membership->Tick(BootClock::now());
+                 },
+                 [] {}};
+  std::unique_ptr<Membership> membership;
+  std::vector<uint64_t> gained;  ///< Generations; core thread.
+  int losses = 0;                ///< Core thread.
+
+  Instance() {
+    MembershipOptions options;
+    options.name = "a";
+    options.address = "a:1";
+    options.incarnation = 1;
+    options.ttl = milliseconds(600);
+    options.join_every = milliseconds(50);
+    membership = std::make_unique<Membership>(options, &store, &loop);
+    membership->Start({[this](uint64_t it) { gained.push_back(it); },
+                       [this] { ++losses; }, [](const std::string&) {}});
+  }
+};
+
+class NullHttp : public net::HttpClient {
+ public:
+  void Send(net::HttpCall, std::function<bool()>, Done) override {}
+};
+
+class RecordingMesh : public net::Mesh {
+ public:
+  void SendRequest(const std::string&,
+                   proto::Envelope request,
+                   milliseconds,
+                   Done,
+                   std::function<void()>) override {
+    sent.push_back(std::move(request));
+  }
+  std::vector<proto::Envelope> sent;
+};
+
+/// One life of an owner's process, which sends calls through a relay.
+struct OwnerLife {
+  NullHttp http;
+  RecordingMesh mesh;
+  RelayClient client{&http};
+  int ended = 0;
+
+  OwnerLife() {
+    client.SetMesh(&mesh);
+    client.SetRelays({{ZoneId("a"), {"relay:1"}}}, "owner:1");
+    BackendEntry to;
+    to.id = BackendId("b0");
+    to.zone = ZoneId("a");
+    net::HttpCall call;
+    call.timeout = milliseconds(1000);
+    client.Send(to, call, {}, [this](const net::HttpResult&) { ++ended; });
+    client.Flush();
+  }
+  uint64_t Number() const {
+    return mesh.sent.at(0).relay_request().calls(0).number();
+  }
+};
+
+}  // namespace
+
+TEST_GROUP(Lost){};
+
+// An owner is killed and starts again at the same address. A relay still sends
+// it the results of its former life's calls: they were taken for those of other
+// calls, so that a start that was never sent counted as confirmed.
+TEST(Lost, ResultsOfAFormerLifeEndNoOtherCalls) {
+  const OwnerLife former;
+  OwnerLife present;
+  proto::RelayResults results;
+  results.add_results()->set_number(former.Number());
+  present.client.OnResults(results);
+  CHECK_EQUAL(0, present.ended);
+  results.mutable_results(0)->set_number(present.Number());
+  present.client.OnResults(results);
+  CHECK_EQUAL(1, present.ended);
+}
+
+}  // namespace bw::test
