Fix: [Member] A generation could be the epoch of two ownerships: appends were lost (LOST)

Callers would see: 2xx for a job, and 410 after the next change of owner.

Cause: up to three joins are in flight, and their replies may overtake each other. A reply from before the cell was assigned came after the one that assigned it; the owner lost the cell and gained it again under the same generation. The generation is the epoch of its appends, and each ownership numbers them from 1: the store takes the new ones for repetitions of the former ones, replies with success and stores nothing (PROTOCOL: "a repeat of one of the last five appends receives its first response again").

Fix: a reply with a known generation to a join sent before the newest answered one is ignored; and if the group withdraws the cell and assigns it again under the same generation, the instance leaves and joins as a new member, which raises the generation. The second rule alone keeps epochs unique, whatever order the replies come in; the first keeps the ownership.

Found by reading; no run of processes showed it.

--- a/src/membership.cc
+++ b/src/membership.cc
@@ -128,6 +128,9 @@
       response.generation < cell_generation_) {
     return;
   }
+  if (response.generation == cell_generation_ && sent < renewed_at_) {
+    return;  // Overtaken by the reply to a later join.
+  }
   const bool lapsed = ToMicros(BootClock::now()) >= ownership_end_us_.load();
   const bool changed = response.generation != cell_generation_;
   cell_generation_ = response.generation;
@@ -153,8 +156,16 @@
     return;
   }
   reassigned_ = false;
+  if (!owns_ && cell_generation_ == gained_generation_) {
+    // The store would take the appends of this ownership for repetitions of the
+    // former one's. A new member gets a new generation.
+    LeaveCellGroup();
+    JoinCellGroup(BootClock::now());
+    return;
+  }
   if (!owns_) {
     owns_ = true;
+    gained_generation_ = cell_generation_;
     owned_since_ = BootClock::now();
     owner_address_ = self_.address;
     LogEvent(Part::kMember, "cell_gained", {{"generation", cell_generation_}});
--- a/src/membership_base.h
+++ b/src/membership_base.h
@@ -42,7 +42,7 @@
 
   struct Events {
     /// Runs with the group's generation when the cell is assigned to this
-    /// process.
+    /// process; never twice with the same.
     std::function<void(uint64_t)> on_gain;
     std::function<void()> on_lose;  ///< Runs when this process stops owning it.
     /// Offers the cell, which this process has left, to the instance with this
@@ -121,7 +121,8 @@
   std::string cell_member_;   ///< Name in the cell group; new after each leave.
   std::string fleet_member_;  ///< Name in the fleet group.
   uint32_t names_issued_ = 0;
-  uint64_t cell_generation_ = 0;  ///< Newest generation of the cell group.
+  uint64_t cell_generation_ = 0;    ///< Newest generation of the cell group.
+  uint64_t gained_generation_ = 0;  ///< Of the newest ownership.
   uint64_t fleet_generation_ = 0;
   uint32_t joins_in_flight_ = 0;
   Time next_cell_join_ = kNever;
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -138,4 +138,35 @@
   CHECK_EQUAL(1, present.ended);
 }
 
+// Several joins are in flight at a time, and responses on different connections
+// overtake each other. The reply to an older one says that the cell is not
+// assigned yet.
+TEST(Lost, OvertakenReplyToAJoinDoesNotEndTheOwnership) {
+  Instance it;
+  it.loop.Start();
+  std::this_thread::sleep_for(milliseconds(1500));
+  it.loop.Post([&it] { it.store.hold = 2; });
+  std::this_thread::sleep_for(milliseconds(400));
+  it.loop.Stop();
+  CHECK_EQUAL(0, it.store.hold);
+  CHECK_EQUAL(0, it.losses);
+  CHECK_EQUAL(1U, it.gained.size());
+}
+
+// The group withdraws the cell and assigns it again without a new generation.
+// The generation is the epoch of the appends: the store took the first append
+// of the second ownership for a repetition of one of the first and stored
+// nothing, although it replied with success.
+TEST(Lost, NoGenerationIsTheEpochOfTwoOwnerships) {
+  Instance it;
+  it.loop.Start();
+  std::this_thread::sleep_for(milliseconds(1500));
+  it.loop.Post([&it] { it.store.withhold = 1; });
+  std::this_thread::sleep_for(milliseconds(2500));
+  it.loop.Stop();
+  CHECK_EQUAL(1, it.losses);
+  CHECK_EQUAL(2U, it.gained.size());
+  CHECK(it.gained[1] > it.gained[0]);
+}
+
 }  // namespace bw::test
