Fix: [Cell] A query for advice stayed pending after quick changes of the configuration (LOST)

Callers would see: an accepted job that never runs though there is room.

Cause: a response that arrived while the configuration had no advice for the queue was dropped before the query was counted as ended. Once a later configuration restored the advice, the step never queried again.

Fix: the count falls with each response.

Whether configurations on the users' sites remove and restore advice is not known.

--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -125,11 +125,14 @@
                             Time now) {
   Job* job = nullptr;
   Step* step = FindStep(ref, &job);
-  if (step == nullptr || !job->policy.advice) {
+  if (step == nullptr) {
     return;
   }
   AdviceState& advice = step->advice;
   advice.queries_in_flight -= std::min(advice.queries_in_flight, 1U);
+  if (!job->policy.advice) {
+    return;
+  }
   if (!response.not_sent) {
     advice.next_query_at =
         now + (response.answered ? kMinQueryInterval : 4 * kMinQueryInterval);
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -169,4 +169,33 @@
   CHECK(it.gained[1] > it.gained[0]);
 }
 
+// A configuration removes the advice of a queue while a query is in flight, and
+// the next one restores it. The step never queried again and stood still.
+TEST(Lost, QueryThatEndsWhileItsQueueHasNoAdviceIsNotPendingForever) {
+  CellHarness it(1);
+  it.config->queues[0].advice = AdvicePolicy{10, 1, 2000};
+  it.cell->SetConfig(it.config);
+  it.Submit(kJob, CellHarness::Tasks(1, 8000));
+  CHECK_EQUAL(1U, it.port.advice_queries.size());
+  const auto query = it.port.advice_queries[0];
+  it.config->queues[0].advice.reset();
+  it.cell->SetConfig(it.config);
+  platform::AdviceResponse response;
+  response.answered = true;
+  response.recommended.push_back({query.backends[0], "ticket"});
+  it.cell->OnAdviceResponse(query.step, query.backends, response, it.now);
+  it.config->queues[0].advice = AdvicePolicy{10, 1, 2000};
+  it.cell->SetConfig(it.config);
+  it.port.on_advice_query = [&it](const FakeCellPort::AdviceQuery& of) {
+    platform::AdviceResponse out;
+    out.answered = true;
+    for (const auto& id : of.backends) {
+      out.recommended.push_back({id, "ticket"});
+    }
+    it.cell->OnAdviceResponse(of.step, of.backends, out, it.now);
+  };
+  it.Advance(3000);
+  CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
+}
+
 }  // namespace bw::test
