Fix: [Cell] A refused job's cancellation ended the same job handed in again (LOST)

Callers would see: a job that they handed in again after a refusal is shown as cancelled, and the first cancel gets no response of its own.

Cause: the store is away, and a job is cancelled before its record was sent. After 0.8 s the job was refused and its record withdrawn, but not that of its end. The latter was stored later and ended whatever job had the name by then.

Fix: a job whose end is queued is not refused: its records are stored in order and its callers get the outcome then, or "outcome unknown" from their front.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -321,13 +321,15 @@
 }
 
 /// Refuses jobs whose record was not sent yet while the store is unavailable.
+/// The end of one that was cancelled is queued, too, so that one is kept.
 void Cell::RefuseUnstoredJobs(Time now) {
   if (port_->IsStoreResponsive()) {
     return;
   }
   for (auto it = jobs_.begin(); it != jobs_.end();) {
     Job& job = it->second;
-    if (job.stored || now - job.accepted < kStoreTimeout ||
+    if (job.stored || job.state != JobState::kActive ||
+        now - job.accepted < kStoreTimeout ||
         !port_->CancelUnsent(job.store_request)) {
       ++it;
       continue;
@@ -478,6 +480,7 @@
   if (node.empty()) {
     return;
   }
+  KeepMaybeRunning(node.mapped());
   ended_[id] = ended;
   LogEvent(Part::kPlacer, "job_ended",
            {{"job", id.value}, {"state", StateName(ended.state)}});
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -198,4 +198,38 @@
   CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
 }
 
+// The caller cancels a job whose record was not sent yet, as the store is away.
+// The job was refused, but its end was stored, and ended the job when the
+// caller handed it in again.
+TEST(Lost, RefusedJobThatWasCancelledMayBeHandedInAgain) {
+  CellHarness it(1);
+  it.store_enabled = false;
+  std::vector<CellOutcome> submits;
+  std::vector<CellOutcome> cancels;
+  const auto submit = [&] {
+    it.cell->Submit(JobId(kJob), TeamId("t0"), QueueId("q"),
+                    CellHarness::Tasks(1, 1000), it.now,
+                    [&](const CellOutcome& of) { submits.push_back(of); });
+  };
+  submit();
+  it.cell->Cancel(JobId(kJob), TeamId("t0"), it.now,
+                  [&](const CellOutcome& of) { cancels.push_back(of); });
+  it.port.store_available = false;
+  it.Advance(1200);
+  it.port.store_available = true;
+  const bool refused =
+      !submits.empty() && submits[0].status == CellStatus::kStoreUnavailable;
+  submit();
+  it.store_enabled = true;
+  it.Advance(1000);
+  CHECK_EQUAL(2U, submits.size());
+  CHECK_EQUAL(1U, cancels.size());
+  // Refused as a whole, or accepted and cancelled.
+  STRCMP_EQUAL(refused ? "running" : "cancelled", it.State(kJob).c_str());
+  const std::string before = it.State(kJob);
+  it.StartOwner(2);
+  it.Advance(200);
+  STRCMP_EQUAL(before.c_str(), it.State(kJob).c_str());
+}
+
 }  // namespace bw::test
