Fix: [Cell] A backend server whose life became known late was never used (LOST)

Callers would see: jobs that stand still though a server has room.

Cause: an entry without the start of the server's life is stored with life 0. If the first report tells the life while that record is being stored, the store's reply was taken for that of another life: the write counted as in flight for as long as the owner lived, and the server got no work.

Fix: a record of an unknown life counts for the life that became known; what made it outdated otherwise (a restart) writes the record again.

Entries of the platform's own servers tell their life, so this is not likely the users' finding.

--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -231,16 +231,18 @@
     record.add_labels(it);
   }
   const uint64_t incarnation = entry.incarnation;
-  port_->StoreRecords({platform::MakeKeyedRecord("b:" + entry.id.value,
-                                                 record.SerializeAsString())},
-                      [this, id = entry.id, incarnation] {
-                        auto it = servers_.find(id);
-                        if (it != servers_.end() &&
-                            it->second.entry.incarnation == incarnation) {
-                          it->second.record_stored = true;
-                          it->second.storing_record = false;
-                        }
-                      });
+  port_->StoreRecords(
+      {platform::MakeKeyedRecord("b:" + entry.id.value,
+                                 record.SerializeAsString())},
+      [this, id = entry.id, incarnation] {
+        auto it = servers_.find(id);
+        // It may have become known since.
+        if (it != servers_.end() &&
+            (it->second.entry.incarnation == incarnation || incarnation == 0)) {
+          it->second.record_stored = true;
+          it->second.storing_record = false;
+        }
+      });
 }
 
 void Cell::Load(const std::string& key, const std::string& value, Time now) {
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -232,4 +232,25 @@
   STRCMP_EQUAL(before.c_str(), it.State(kJob).c_str());
 }
 
+// The first entry of a backend server does not tell its life; its first report
+// does, while its record is being stored. It was never used.
+TEST(Lost, ServerWhoseLifeBecomesKnownWhileItsRecordIsStoredIsUsed) {
+  CellHarness it(1);
+  FakeBackend added = it.backends.begin()->second;
+  it.backends.clear();
+  it.port.stored.clear();
+  it.StartOwner(2);
+  added.entry.id = BackendId("b9");
+  BackendEntry undated = added.entry;
+  undated.incarnation = 0;
+  it.backends[added.entry.id] = added;
+  it.store_enabled = false;
+  it.cell->SetBackend(undated, it.now);
+  it.Advance(40);
+  it.store_enabled = true;
+  it.Submit(kJob, CellHarness::Tasks(1, 1000));
+  it.Advance(1000);
+  CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
+}
+
 }  // namespace bw::test
