Fix: [Cell] Cancelled filling tasks freed processor time that others were using (LIMIT)

Callers would see: starts that servers without a guard of their capacity take beyond it, or that others reject for want of room.

Cause: tasks that fill occupy no processor time on their server. When the end of a cancelled job was stored before its runs had ended, as stops take longer than an append, the job was unknown by then, and the end of each run freed the processor time that the step had asked for.

Fix: a run keeps what it took from its server's capacity, and frees just that.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -209,7 +209,8 @@
   /// A run that is or may be active on a backend server.
   struct LiveRun {
     RunPhase phase = RunPhase::kStarting;
-    Resources need;
+    Resources need;  ///< Counts against its account's maximum.
+    Resources room;  ///< Taken from its server's capacity.
     TeamId team;
     bool job_unknown = false;   ///< Its job and its resources are unknown.
     bool from_scratch = false;  ///< Started here without a checkpoint.
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -350,12 +350,13 @@
   step->started = pass->now;
   LiveRun live;
   live.need = spec.need;
+  live.room = OccupiedResources(spec);
   live.team = job->team;
   live.estimate_ms = spec.estimate_ms;
   live.serial = ++last_serial_;
   live.placed_at = pass->now;
   server->runs[{ref, run}] = live;
-  server->used = server->used + OccupiedResources(spec);
+  server->used = server->used + live.room;
   usage_[job->team] = usage_[job->team] + spec.need;
   unsent_starts_.push_back({{ref, run}, server->entry.id, live.serial});
   job->progress_changed = true;
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -42,13 +42,7 @@
   if (live.job_unknown) {
     --server->unknown_job_runs;
   } else {
-    Job* job = nullptr;
-    Step* step = nullptr;
-    Resources room = live.need;
-    if (FindTask(run.task, &job, &step) != nullptr) {
-      room = OccupiedResources(job->spec.steps[run.task.step]);
-    }
-    server->used = server->used.Without(room);
+    server->used = server->used.Without(live.room);
     Resources& usage = usage_[live.team];
     usage = usage.Without(live.need);
   }
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -466,8 +466,8 @@
     live.need = spec.need;
     live.team = job->team;
     live.estimate_ms = spec.estimate_ms;
-    const Resources room = OccupiedResources(spec);
-    server->used = server->used + room;
+    live.room = OccupiedResources(spec);
+    server->used = server->used + live.room;
     usage_[live.team] = usage_[live.team] + live.need;
     job->started = true;
   }
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -198,6 +198,20 @@
   CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
 }
 
+// Tasks that fill occupy no processor time of their own. When their job was
+// cancelled, the end of their runs freed the room of other tasks.
+TEST(Lost, CancelledFillingTasksFreeNoRoomOfOthers) {
+  CellHarness it(1);
+  it.Submit(kJob, CellHarness::Tasks(1, 8000));
+  it.Submit(kOtherJob, CellHarness::Tasks(1, 8000, R"(,"fills":true)"));
+  CHECK_EQUAL(1, it.Running({JobId(kOtherJob), 0, 0, 0}));
+  it.cell->Cancel(JobId(kOtherJob), TeamId("t0"), it.now, [](const auto&) {});
+  it.port.StorePending();  // Before the run has ended.
+  it.Advance(500);
+  CHECK_EQUAL(0, it.Running({JobId(kOtherJob), 0, 0, 0}));
+  CHECK_EQUAL(0U, it.cell->Count().free_millicores);
+}
+
 // The caller cancels a job whose record was not sent yet, as the store is away.
 // The job was refused, but its end was stored, and ended the job when the
 // caller handed it in again.
