Fix: [Cell] Jobs that ended after a change of owner used up their account's quota (LOST)

Callers would see: accepted jobs of an account with a maximum that stand still though there is room, for as long as the owner lives.

Cause: a new owner counts tasks that may still run under the former one against their account's maximum until their backend server's lists are read. If their job ended before that (cancelled, or failed for good), its tasks were not found any more when the lists came, and their resources counted for ever. With them, the owner never counted as settled.

Fix: when such a job's end is stored, its unresolved tasks are kept by backend server, and are released with the others once the server's lists are read or its leases have lapsed. A run of such a task that is found meanwhile counts with its resources until it has ended, and no longer closes its server for new work as a run of an unknown job does.

Found by reading.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -397,6 +397,8 @@
                    Time now);
   void ResolveMaybeRunning(const BackendId& id, Time now);
   void ClearMaybeRunning(const Job& job, const TaskRef& ref, Task* task);
+  void KeepMaybeRunning(const Job& ended);
+  void ReleaseMaybeRunning(const TeamId& team, const Resources& need);
   void TearDownPartialGang(Job* job, const StepRef& ref, Time now);
   void TearDownGang(Job* job, const TaskRef& member, Time now);
   void AvoidServer(Server* server, Time now);
@@ -583,11 +585,14 @@
   uint64_t wall_ms_ = 0;
   Time loaded_at_ = kNever;
   bool settled_ = false;  ///< All tasks with `maybe_running` are resolved.
-  uint32_t maybe_running_count_ = 0;  ///< Number of tasks with `maybe_running`.
+  /// Number of tasks with `maybe_running`, those of ended jobs included.
+  uint32_t maybe_running_count_ = 0;
   /// Those tasks, and some that are resolved, by the server they may run on.
   std::map<BackendId, std::vector<TaskRef>> maybe_running_;
+  /// Tasks with `maybe_running` whose job has ended since, by that server.
+  std::map<BackendId, std::vector<EndedTask>> ended_maybe_running_;
   std::map<TeamId, Resources>
-      maybe_running_usage_;  ///< Resources of those tasks.
+      maybe_running_usage_;  ///< Resources of all those tasks.
   Time next_prefetch_ = kNever;
   Time next_pass_ = kNever;
   Counts counters_;  ///< Only the cumulative fields are used.
--- a/src/cell_room.cc
+++ b/src/cell_room.cc
@@ -248,4 +248,35 @@
   return out;
 }
 
+void Cell::ClearMaybeRunning(const Job& job, const TaskRef& ref, Task* task) {
+  task->maybe_running = false;
+  ReleaseMaybeRunning(job.team, job.spec.steps[ref.step].need);
+}
+
+void Cell::ReleaseMaybeRunning(const TeamId& team, const Resources& need) {
+  --maybe_running_count_;
+  Resources& usage = maybe_running_usage_[team];
+  usage = usage.Without(need);
+}
+
+/// Notes the tasks of an ended job that may be running, so that their resources
+/// count until their backend server's lists are read.
+void Cell::KeepMaybeRunning(const Job& ended) {
+  for (const auto& occurrence : ended.occurrences) {
+    for (uint32_t n = 0; n < occurrence.second.steps.size(); ++n) {
+      const auto& tasks = occurrence.second.steps[n].tasks;
+      const StepSpec& spec = ended.spec.steps[n];
+      for (uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].maybe_running) {
+          ended_maybe_running_[tasks[index].backend].push_back(
+              {{ended.id, occurrence.first, n, index},
+               ended.team,
+               spec.need,
+               OccupiedResources(spec)});
+        }
+      }
+    }
+  }
+}
+
 }  // namespace bw
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -190,6 +190,11 @@
 /// server, now that its lists were read or its leases have expired: tasks not
 /// found running do not run.
 void Cell::ResolveMaybeRunning(const BackendId& id, Time now) {
+  if (const auto ended = ended_maybe_running_.extract(id); !ended.empty()) {
+    for (const auto& it : ended.mapped()) {
+      ReleaseMaybeRunning(it.team, it.need);
+    }
+  }
   const auto node = maybe_running_.extract(id);
   if (node.empty()) {
     return;
@@ -211,13 +216,6 @@
   }
 }
 
-void Cell::ClearMaybeRunning(const Job& job, const TaskRef& ref, Task* task) {
-  task->maybe_running = false;
-  --maybe_running_count_;
-  Resources& usage = maybe_running_usage_[job.team];
-  usage = usage.Without(job.spec.steps[ref.step].need);
-}
-
 /// @return True if the server did not respond to the last poll. While a poll is
 /// pending, its report may be on its way or waiting to be processed.
 bool Cell::IsSilent(const Server& server, Time now) {
@@ -459,8 +457,20 @@
   live.start_confirmed_at = now;
   live.checkpoint = row.checkpoint;
   if (task == nullptr) {
-    live.job_unknown = true;
-    ++server->unknown_job_runs;
+    const auto& ended = ended_maybe_running_[server->entry.id];
+    const auto known =
+        std::find_if(ended.begin(), ended.end(),
+                     [&](const auto& it) { return it.task == row.run.task; });
+    if (known == ended.end()) {
+      live.job_unknown = true;
+      ++server->unknown_job_runs;
+    } else {
+      live.need = known->need;
+      live.room = known->room;
+      live.team = known->team;
+      server->used = server->used + live.room;
+      usage_[live.team] = usage_[live.team] + live.need;
+    }
   } else {
     const StepSpec& spec = job->spec.steps[row.run.task.step];
     live.need = spec.need;
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -226,4 +226,12 @@
   auto operator<=>(const Ticket&) const = default;
 };
 
+/// A task of an ended job; a run that a former owner started may be active.
+struct EndedTask {
+  TaskRef task;
+  TeamId team;
+  Resources need;  ///< Counts against its account's maximum.
+  Resources room;  ///< Taken from its server's capacity.
+};
+
 }  // namespace bw
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -198,6 +198,33 @@
   CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
 }
 
+// A new owner cancels a job before it has read the lists of the backend servers
+// that may run its tasks. Their resources counted against the account's maximum
+// for as long as the owner lived, and its other jobs stood still.
+TEST(Lost, CancelledJobOfAFormerOwnerFreesItsAccountsQuota) {
+  CellHarness it(2);
+  it.config->accounts[0].maximum = {16'000, 0, 0};
+  it.cell->SetConfig(it.config);
+  it.Submit(kJob, CellHarness::Tasks(2, 8000));
+  CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 1}));
+  for (auto& backend : it.backends) {
+    backend.second.reachable = false;
+  }
+  it.StartOwner(2);
+  it.cell->Cancel(JobId(kJob), TeamId("t0"), it.now, [](const auto&) {});
+  it.Advance(100);
+  STRCMP_EQUAL("cancelled", it.State(kJob).c_str());
+  it.Submit(kOtherJob, CellHarness::Tasks(2, 8000));
+  it.Advance(200);
+  CHECK_EQUAL(0U, it.start_log.size() - 2);  // They may still run.
+  for (auto& backend : it.backends) {
+    backend.second.reachable = true;
+  }
+  it.Advance(3000);
+  CHECK_EQUAL(1, it.Running({JobId(kOtherJob), 0, 0, 0}));
+  CHECK_EQUAL(1, it.Running({JobId(kOtherJob), 0, 0, 1}));
+}
+
 // Tasks that fill occupy no processor time of their own. When their job was
 // cancelled, the end of their runs freed the room of other tasks.
 TEST(Lost, CancelledFillingTasksFreeNoRoomOfOthers) {
