Fix: [Process] A settings file that was missing for a moment ended the process

While the platform replaces the settings file, there may be none. A process that started then ended at once with the code of invalid settings, as only a file with a recent time of change was read again. A step of the time of day also made a file that was being written look old.

--- a/src/process.cc
+++ b/src/process.cc
@@ -23,7 +23,8 @@
 constexpr milliseconds kResponseFlushDelay{200};
 /// Interval of the check for settings files that changed without a SIGHUP.
 constexpr std::chrono::seconds kReloadInterval{5};
-/// A settings file may be incomplete until this long after its last change.
+/// A settings file may be missing or incomplete until this long after its last
+/// change and after the process began to read it.
 constexpr milliseconds kSettingsSettleTime{1000};
 constexpr milliseconds kSettingsRetryPause{50};
 
@@ -96,13 +97,19 @@
 }
 
 /// Loads the settings. Reads a file with errors again while it may still be
-/// being written.
+/// being written or replaced.
+/// @param patient False if nobody may be writing it.
 Settings LoadSettings(const std::string& file,
                       std::span<const SettingDesc> table,
                       const Overrides& overrides,
+                      bool patient,
                       std::vector<SettingError>* errors) {
+  // A missing file has no time of its last change, and that of another one is
+  // misleading when the time of day has been stepped.
+  const Time settled = BootClock::now() + kSettingsSettleTime;
   Settings out = Settings::Load(file, table, overrides, errors);
-  while (!errors->empty() && ChangedJustNow(file)) {
+  while (!errors->empty() && patient && !file.empty() &&
+         (BootClock::now() < settled || ChangedJustNow(file))) {
     std::this_thread::sleep_for(kSettingsRetryPause);
     errors->clear();
     out = Settings::Load(file, table, overrides, errors);
@@ -164,7 +171,8 @@
   std::vector<SettingError> errors;
   out.settings_file = parsed.file == nullptr ? "" : parsed.file;
   out.overrides = overrides;
-  out.settings = LoadSettings(out.settings_file, table, overrides, &errors);
+  out.settings = LoadSettings(out.settings_file, table, overrides,
+                              parsed.check_only == 0, &errors);
   poptFreeContext(context);
   for (const auto& it : errors) {
     std::fprintf(stderr, "%s\n", it.ToText().c_str());
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -131,6 +131,7 @@
   }
   Configure(1, {"k0", "k1"});
   for (int n = 0; n < options_.instances; ++n) {
+    ChangeSettings(n, "");
     StartEntry(n);
   }
   return Eventually(
@@ -201,12 +202,15 @@
     environment.push_back("BILBERRYWING_BOOT=" + SettingsOf(n));
   } else {
     arguments = ArgumentsOf(n);
-    std::ofstream(SettingsOf(n), std::ios::app).flush();
   }
   entries_[static_cast<size_t>(n)] =
       ChildProcess("bwentry", arguments, LogOf(n), environment);
 }
 
+void EntryFleet::RemoveSettings(int n) const {
+  unlink(SettingsOf(n).c_str());
+}
+
 std::string EntryFleet::SettingsOf(int n) const {
   return directory_ + "/e" + std::to_string(n) + ".ini";
 }
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -43,6 +43,8 @@
   /// Replaces the settings file of one instance without a signal to the
   /// process. If `as_deployed`, `text` replaces what the template sets.
   void ChangeSettings(int n, const std::string& text) const;
+  /// Removes the settings file of one instance.
+  void RemoveSettings(int n) const;
   ChildProcess& Entry(int n) { return entries_[static_cast<size_t>(n)]; }
 
   net::HttpResult Call(int n,
