Fix: [Settings] Values that a deployment leaves empty kept processes from starting

The platform renders a placeholder without a value as an empty text. Only real numbers fell back to their default then; all other settings with a default (max_fds) ended the start, as did a processor share above 1, fewer than 256 descriptors, a number of descriptors with a fraction, and other figures that a deployment may well have.

Settings without a default are still required.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -35,7 +35,8 @@
     out.listen_metrics = at(port + n);
   }
   out.backend_connections = static_cast<long>(std::max(
-      kMinBackendConnections, settings.Int("instance.max_fds") - kOtherFds));
+      kMinBackendConnections,
+      static_cast<int64_t>(settings.Real("instance.max_fds")) - kOtherFds));
   out.store = settings.Text("platform.store");
   out.advice = settings.Text("platform.advice");
   out.max_call_bytes =
@@ -63,7 +64,7 @@
   out.cell.lease =
       out.cell.max_lease * settings.Int("timing.lease_percent") / kPercent;
   out.cell.ended_job_retention = ms("bounds.status_s", kMsPerSecond);
-  out.cell.far_factor = settings.Real("bounds.far_x");
+  out.cell.far_factor = std::max(1.0, settings.Real("bounds.far_x"));
   out.front.revoke = ms("bounds.revoke_ms");
   return out;
 }
--- a/src/setting.cc
+++ b/src/setting.cc
@@ -160,8 +160,7 @@
     const std::string name = FullName(it);
     auto [value, added] = out.values_.try_emplace(
         name, it.default_value == nullptr ? "" : it.default_value);
-    if (it.type == SettingType::kReal && value->second.empty() &&
-        it.default_value != nullptr) {
+    if (value->second.empty() && it.default_value != nullptr) {
       value->second = it.default_value;
     }
     if (added && it.default_value == nullptr) {
--- a/src/setting_type.h
+++ b/src/setting_type.h
@@ -12,11 +12,11 @@
   kAddress,  ///< "ip:port"
   kUrl,      ///< "http://ip:port"
   kInt,      ///< An integer from `min` to `max`.
-  kReal,     ///< A number from `min` to `max`; empty selects the default.
+  kReal,     ///< A number from `min` to `max`.
   kList,     ///< Comma-separated strings.
 };
 
-/// One row of a settings table.
+/// One row of a settings table. An empty value selects the default.
 struct SettingDesc {
   const char* section;
   const char* key;
--- a/test/process_fault_test.cc
+++ b/test/process_fault_test.cc
@@ -14,6 +14,18 @@
 
 constexpr const char* kJob = "00000000000000aa";
 
+/// Starts instance 0 again with the settings file `text`.
+/// @return True if it gets ready.
+bool StartsWith(EntryFleet* fleet, const std::string& text) {
+  fleet->Entry(0).Kill();
+  fleet->ChangeSettings(0, text);
+  fleet->StartEntry(0);
+  Eventually([&] {
+    return fleet->IsReady(0) || fleet->Entry(0).Wait(milliseconds(0)) >= 0;
+  });
+  return fleet->IsReady(0);
+}
+
 }  // namespace
 
 TEST_GROUP(ProcessFault){};
@@ -32,6 +44,27 @@
   CHECK(Eventually([&] { return fleet.IsReady(0); }));
 }
 
+// A placeholder without a value leaves an empty value in the settings file.
+// Some settings of a deployment then kept all processes from starting.
+TEST(ProcessFault, EmptyAndUnusualValuesDoNotPreventTheStart) {
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  for (const char* text :
+       {"[instance]\ncpu_share =\ncpu_cores =\nmax_fds =\n",
+        "[listen]\nmetrics_offset =\n[log]\nlevels =\n",
+        "[platform]\nadvice =\nmember_ttl_min_ms =\ncall_bytes =\n"
+        "record_bytes =\n",
+        "[bounds]\nhold_max_ms =\nrevoke_ms =\ngrace_s =\nstatus_s =\n"
+        "far_x =\n",
+        "[timing]\nmember_ttl_ms =\njoin_every_ms =\nlease_percent =\n",
+        "[instance]\ncpu_share = 4\ncpu_cores = 16\nmax_fds = 4100.0\n",
+        "[instance]\ncpu_share = 0.004\nmax_fds = 128\n",
+        "[instance]\nmax_fds = 2000000\n[platform]\ncall_bytes = 4e9\n",
+        "[bounds]\nfar_x = 0.5\nrevoke_ms = 250\nstatus_s = 0.5\n"}) {
+    CHECK_TEXT(StartsWith(&fleet, text), text);
+  }
+}
+
 // Nesting that a recursive reader would need a stack of megabytes for.
 TEST(ProcessFault, DeeplyNestedBodyDoesNotEndTheProcess) {
   constexpr size_t kDepth = 120'000;
