Fix: [Process] A process did not start if its address space was limited

Its 15 threads reserved 8 MiB of stack each and most of them an arena of 64 MiB, 771 MB in all at 18 MB resident. Under RLIMIT_AS the start ended with "Cannot start services: Resource temporarily unavailable" and code 1, or did not, by which arenas had been reserved first.

Stacks are 1 MiB now and there is one arena: 110 MB reserved, 18 MB resident (idle, arm64). One arena costs threads a lock that they share; the allocator's caches for each thread keep most allocations off it.

--- a/src/process.cc
+++ b/src/process.cc
@@ -1,4 +1,6 @@
+#include <malloc.h>
 #include <popt.h>
+#include <pthread.h>
 #include <signal.h>
 #include <sodium.h>
 #include <sys/resource.h>
@@ -27,6 +29,10 @@
 /// change and after the process began to read it.
 constexpr milliseconds kSettingsSettleTime{1000};
 constexpr milliseconds kSettingsRetryPause{50};
+/// Stack of each thread, in bytes. The system's default reserves 8 MiB.
+constexpr size_t kThreadStackBytes = 1U << 20;
+/// Each further arena of the allocator reserves 64 MiB of address space.
+constexpr int kMaxArenas = 1;
 
 enum Option : int {
   kOptionSet = 1,
@@ -193,7 +199,17 @@
   return out;
 }
 
+void BoundAddressSpace() {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, kThreadStackBytes);
+  pthread_setattr_default_np(&attributes);
+  pthread_attr_destroy(&attributes);
+  mallopt(M_ARENA_MAX, kMaxArenas);
+}
+
 void RunMain(int (*main)(int, const char**), int argc, const char** argv) {
+  BoundAddressSpace();
   int code = ToInt(ExitCode::kFailed);
   try {
     code = main(argc, argv);
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -43,8 +43,13 @@
                                             std::vector<ExtraOption> extra,
                                             int* exit_code);
 
-/// Runs `main` and exits with its return value, or with kFailed if it throws.
-/// Static objects are not destroyed.
+/// Limits the address space that threads and the allocator reserve, so that a
+/// process also starts under a limit (RLIMIT_AS) close to what it uses.
+/// @pre No other thread has been started.
+void BoundAddressSpace();
+
+/// Bounds the address space, runs `main` and exits with its return value, or
+/// with kFailed if it throws. Static objects are not destroyed.
 [[noreturn]] void RunMain(int (*main)(int, const char**),
                           int argc,
                           const char** argv);
--- a/test/process_fault_test.cc
+++ b/test/process_fault_test.cc
@@ -2,6 +2,7 @@
 // their settings file, limits and callers do.
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <string>
@@ -65,6 +66,28 @@
   }
 }
 
+// A process reserved several hundred MB of address space for stacks and for
+// arenas of the allocator, and did not start if it was limited.
+TEST(ProcessFault, StartsAndServesWithItsMemoryAsAddressSpace) {
+  constexpr int kTries = 5;
+  constexpr rlim_t kMegabyte = 1U << 20;
+  EntryFleet fleet(1, 2);
+  CHECK(fleet.Start());
+  for (const rlim_t mb : {260, 160}) {
+    for (int n = 0; n < kTries; ++n) {
+      fleet.Entry(0).Kill();
+      fleet.StartEntry(0);
+      const rlimit limit{mb * kMegabyte, mb * kMegabyte};
+      LONGS_EQUAL(0, prlimit(fleet.Entry(0).pid(), RLIMIT_AS, &limit, nullptr));
+      CHECK(Eventually([&] { return fleet.IsReady(0); }));
+      CHECK(Eventually([&] {
+        return fleet.Call(0, "POST", kJob, EntryJob(2, 50)).status == 200;
+      }));
+      LONGS_EQUAL(-1, fleet.Entry(0).Wait(milliseconds(0)));
+    }
+  }
+}
+
 // Nesting that a recursive reader would need a stack of megabytes for.
 TEST(ProcessFault, DeeplyNestedBodyDoesNotEndTheProcess) {
   constexpr size_t kDepth = 120'000;
