Fix: [Process] A repeated SIGTERM ended the drain

The second stop signal was taken for an operator's wish to stop at once. A supervisor that repeats SIGTERM (a roll-out over a stop, a signal to the group) so cut the drain: calls were refused 2.5 s before the balancer sends callers elsewhere, the cell was not handed over, and the exit code was 1. Only SIGINT ends a drain now.

--- a/src/process.cc
+++ b/src/process.cc
@@ -48,11 +48,14 @@
   return out;
 }
 
-/// @return True if another stop signal has arrived; consumes it.
-bool ConsumeStopSignal() {
-  const sigset_t signals = StopSignals();
+/// @return True if an operator has interrupted the shutdown. Supervisors may
+/// send SIGTERM more than once, so that ends no drain.
+bool ConsumeInterrupt() {
+  sigset_t interrupt;
+  sigemptyset(&interrupt);
+  sigaddset(&interrupt, SIGINT);
   const timespec none{};
-  return sigtimedwait(&signals, nullptr, &none) > 0;
+  return sigtimedwait(&interrupt, nullptr, &none) > 0;
 }
 
 /// popt's option table and the variables that receive the values. Owns the
@@ -265,7 +268,7 @@
   Log(Part::kKernel, LogLevel::kInfo, "Draining.");
   kernel->DrainAll();
   const Time limit = BootClock::now() + drain_limit;
-  while (kernel->IsBusy() && BootClock::now() < limit && !ConsumeStopSignal()) {
+  while (kernel->IsBusy() && BootClock::now() < limit && !ConsumeInterrupt()) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   const bool cut = kernel->IsBusy();
--- a/test/process_fault_test.cc
+++ b/test/process_fault_test.cc
@@ -5,9 +5,11 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cstdlib>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "support/entry_fleet.h"
@@ -61,6 +63,71 @@
   CHECK(Eventually([&] { return fleet.IsReady(0); }));
 }
 
+// Supervisors may repeat SIGTERM. The second one ended the drain, so that the
+// calls of clients that had not yet been sent elsewhere were refused.
+TEST(ProcessFault, RepeatedSigtermDoesNotEndTheDrain) {
+  constexpr milliseconds kRestOfTheDrain{1500};
+  EntryFleet fleet(2, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Signal(SIGTERM);
+  usleep(200'000);
+  for (const int signal : {SIGTERM, SIGHUP, SIGTERM}) {
+    fleet.Entry(0).Signal(signal);
+    usleep(200'000);
+  }
+  CHECK(Eventually([&] { return fleet.Call(0, "GET", "").status == 200; },
+                   kRestOfTheDrain));
+  LONGS_EQUAL(0, fleet.Entry(0).Wait(milliseconds(4000)));
+}
+
+// Callers never stop. A process that is told to stop, at a random moment after
+// its start and with further signals meanwhile, must end with code 0.
+TEST(ProcessFault, StopsUnderLoadEndWithCodeZero) {
+  constexpr int kCallers = 8;
+  constexpr int kDefaultSeconds = 12;
+  constexpr milliseconds kGrace{4000};
+  const int64_t seconds =
+      NumberFromEnvironment("BW_PROCESS_SECONDS", kDefaultSeconds);
+  std::mt19937_64 random(
+      static_cast<uint64_t>(NumberFromEnvironment("BW_PROCESS_SEED", 1)));
+  const auto between = [&random](int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random);
+  };
+  EntryFleet fleet(2, 2);
+  CHECK(fleet.Start());
+  std::atomic<bool> done{false};
+  std::vector<std::jthread> callers;
+  callers.reserve(kCallers);
+  for (int n = 0; n < kCallers; ++n) {
+    callers.emplace_back([&fleet, &done, n] {
+      for (int call = 0; !done; ++call) {
+        std::string job = std::to_string((n + 1) * 1'000'000 + call);
+        job.insert(0, 16 - job.size(), '0');
+        fleet.Call(call % 2, "POST", job, EntryJob(1, 20));
+        usleep(2000);
+      }
+    });
+  }
+  std::vector<int> codes;
+  const Time until = BootClock::now() + milliseconds(1000 * seconds);
+  for (int n = 0; BootClock::now() < until; n = 1 - n) {
+    usleep(static_cast<useconds_t>(between(50'000, 1'500'000)));
+    fleet.Entry(n).Signal(SIGTERM);
+    if (between(0, 1) == 0) {
+      usleep(static_cast<useconds_t>(between(0, 300'000)));
+      fleet.Entry(n).Signal(between(0, 1) == 0 ? SIGHUP : SIGTERM);
+    }
+    codes.push_back(fleet.Entry(n).Wait(kGrace));
+    fleet.StartEntry(n);
+  }
+  done = true;
+  callers.clear();
+  CHECK(codes.size() > 1);
+  for (const int it : codes) {
+    LONGS_EQUAL(0, it);
+  }
+}
+
 // The platform replaces the settings file while the process starts. A file that
 // was not there at that moment ended it at once.
 TEST(ProcessFault, SettingsFileThatIsMissingForAMomentIsWaitedFor) {
