Fix: [Entry] A low soft limit on descriptors locked callers out

The soft limit on descriptors is often far below the hard one and below what the deployment allows (instance.max_fds). Idle connections of callers used it up, and further callers got no connection. The soft limit is raised at the start.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -127,6 +127,8 @@
     return exit_code;
   }
   UseStructuredOutput();
+  RaiseFileLimit(
+      static_cast<uint64_t>(line->settings.Real("instance.max_fds")));
   const EntryOptions options = OptionsFrom(line->settings);
   LogEvent(Part::kKernel, "start",
            {{"instance", options.membership.name},
--- a/src/process.cc
+++ b/src/process.cc
@@ -5,6 +5,7 @@
 #include <sodium.h>
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -211,6 +212,14 @@
   mallopt(M_ARENA_MAX, kMaxArenas);
 }
 
+void RaiseFileLimit(uint64_t wanted) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < wanted) {
+    limit.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 void RunMain(int (*main)(int, const char**), int argc, const char** argv) {
   BoundAddressSpace();
   int code = ToInt(ExitCode::kFailed);
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -48,6 +48,10 @@
 /// @pre No other thread has been started.
 void BoundAddressSpace();
 
+/// Raises the soft limit on file descriptors to `wanted`, or as far as the hard
+/// limit allows.
+void RaiseFileLimit(uint64_t wanted);
+
 /// Bounds the address space, runs `main` and exits with its return value, or
 /// with kFailed if it throws. Static objects are not destroyed.
 [[noreturn]] void RunMain(int (*main)(int, const char**),
--- a/test/process_fault_test.cc
+++ b/test/process_fault_test.cc
@@ -1,8 +1,10 @@
 // Processes of bwentry must start, run on, and stop without a fault, whatever
 // their settings file, limits and callers do.
 #include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
 #include <signal.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
@@ -12,6 +14,7 @@
 #include <thread>
 #include <vector>
 
+#include "../src/text_func.h"
 #include "support/entry_fleet.h"
 
 namespace bw::test {
@@ -36,6 +39,33 @@
   return text == nullptr ? otherwise : std::strtoll(text, nullptr, 10);
 }
 
+/// Connections to an address that are never used.
+class IdleConnections {
+ public:
+  IdleConnections(const std::string& address, int count) {
+    const HostPort parsed = SplitAddress(address);
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(parsed.port);
+    inet_pton(AF_INET, parsed.host.c_str(), &to.sin_addr);
+    for (int n = 0; n < count; ++n) {
+      fds_.push_back(
+          socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+      connect(fds_.back(), reinterpret_cast<sockaddr*>(&to), sizeof(to));
+    }
+  }
+  ~IdleConnections() {
+    for (const int it : fds_) {
+      close(it);
+    }
+  }
+  IdleConnections(const IdleConnections&) = delete;
+  IdleConnections& operator=(const IdleConnections&) = delete;
+
+ private:
+  std::vector<int> fds_;
+};
+
 }  // namespace
 
 TEST_GROUP(ProcessFault){};
@@ -128,6 +158,24 @@
   }
 }
 
+// The soft limit on descriptors is often far below what the deployment allows.
+TEST(ProcessFault, IdleConnectionsBeyondTheSoftLimitDoNotLockCallersOut) {
+  constexpr rlim_t kSoft = 256;
+  constexpr rlim_t kHard = 4096;
+  constexpr int kIdle = 400;
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  fleet.StartEntry(0);
+  const rlimit limit{kSoft, kHard};
+  LONGS_EQUAL(0, prlimit(fleet.Entry(0).Pid(), RLIMIT_NOFILE, &limit, nullptr));
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  const IdleConnections idle(fleet.FrontOf(0), kIdle);
+  CHECK(Eventually([&] {
+    return fleet.Call(0, "POST", kJob, EntryJob(1, 50)).status == 200;
+  }));
+}
+
 // The platform replaces the settings file while the process starts. A file that
 // was not there at that moment ended it at once.
 TEST(ProcessFault, SettingsFileThatIsMissingForAMomentIsWaitedFor) {
