--- a/src/process.cc
+++ b/src/process.cc
@@ -1,8 +1,11 @@
+#include <malloc.h>
 #include <popt.h>
+#include <pthread.h>
 #include <signal.h>
 #include <sodium.h>
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
@@ -24,9 +27,14 @@
 constexpr milliseconds kResponseFlushDelay{200};
 /// Interval of the check for settings files that changed without a SIGHUP.
 constexpr std::chrono::seconds kReloadInterval{5};
-/// A settings file may be incomplete until this long after its last change.
+/// A settings file may be missing or incomplete until this long after its last
+/// change and after the process began to read it.
 constexpr milliseconds kSettingsSettleTime{1000};
 constexpr milliseconds kSettingsRetryPause{50};
+/// Stack of each thread, in bytes. The system's default reserves 8 MiB.
+constexpr size_t kThreadStackBytes = 1U << 20;
+/// Each further arena of the allocator reserves 64 MiB of address space.
+constexpr int kMaxArenas = 1;
 
 enum Option : int {
   kOptionSet = 1,
@@ -42,11 +50,14 @@
   return out;
 }
 
-/// @return True if another stop signal has arrived; consumes it.
-bool ConsumeStopSignal() {
-  const sigset_t signals = StopSignals();
+/// @return True if an operator has interrupted the shutdown. Supervisors may
+/// send SIGTERM more than once, so that ends no drain.
+bool ConsumeInterrupt() {
+  sigset_t interrupt;
+  sigemptyset(&interrupt);
+  sigaddset(&interrupt, SIGINT);
   const timespec none{};
-  return sigtimedwait(&signals, nullptr, &none) > 0;
+  return sigtimedwait(&interrupt, nullptr, &none) > 0;
 }
 
 /// popt's option table and the variables that receive the values. Owns the
@@ -97,13 +108,19 @@
 }
 
 /// Loads the settings. Reads a file with errors again while it may still be
-/// being written.
+/// being written or replaced.
+/// @param patient False if nobody may be writing it.
 Settings LoadSettings(const std::string& file,
                       std::span<const SettingDesc> table,
                       const Overrides& overrides,
+                      bool patient,
                       std::vector<SettingError>* errors) {
+  // A missing file has no time of its last change, and that of another one is
+  // misleading when the time of day has been stepped.
+  const Time settled = BootClock::now() + kSettingsSettleTime;
   Settings out = Settings::Load(file, table, overrides, errors);
-  while (!errors->empty() && ChangedJustNow(file)) {
+  while (!errors->empty() && patient && !file.empty() &&
+         (BootClock::now() < settled || ChangedJustNow(file))) {
     std::this_thread::sleep_for(kSettingsRetryPause);
     errors->clear();
     out = Settings::Load(file, table, overrides, errors);
@@ -165,7 +182,8 @@
   std::vector<SettingError> errors;
   out.settings_file = parsed.file == nullptr ? "" : parsed.file;
   out.overrides = overrides;
-  out.settings = LoadSettings(out.settings_file, table, overrides, &errors);
+  out.settings = LoadSettings(out.settings_file, table, overrides,
+                              parsed.check_only == 0, &errors);
   poptFreeContext(context);
   for (const auto& it : errors) {
     std::fprintf(stderr, "%s\n", it.ToText().c_str());
@@ -186,8 +204,26 @@
   return out;
 }
 
+void BoundAddressSpace() {
+  pthread_attr_t attributes;
+  pthread_attr_init(&attributes);
+  pthread_attr_setstacksize(&attributes, kThreadStackBytes);
+  pthread_setattr_default_np(&attributes);
+  pthread_attr_destroy(&attributes);
+  mallopt(M_ARENA_MAX, kMaxArenas);
+}
+
+void RaiseFileLimit(uint64_t wanted) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < wanted) {
+    limit.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 void RunMain(int (*main)(int, const char**), int argc, const char** argv) {
   InstallCrashReport();
+  BoundAddressSpace();
   int code = ToInt(ExitCode::kFailed);
   try {
     code = main(argc, argv);
@@ -243,7 +279,7 @@
   Log(Part::kKernel, LogLevel::kInfo, "Draining.");
   kernel->DrainAll();
   const Time limit = BootClock::now() + drain_limit;
-  while (kernel->IsBusy() && BootClock::now() < limit && !ConsumeStopSignal()) {
+  while (kernel->IsBusy() && BootClock::now() < limit && !ConsumeInterrupt()) {
     std::this_thread::sleep_for(kDrainPollInterval);
   }
   const bool cut = kernel->IsBusy();
