Fix: [Cell] A gang partly running after a change of owner was not started again (LOST)

Callers would see: a job whose gang stands still while one member is held.

Cause: a new owner stops the rest of a gang when the lists of a backend server show that some members do not run. It looked only at tasks that the lists had left unresolved: if they showed the ends of the last members, or the last member running, nothing was stopped, and the gang waited for that run to end. The platform's servers end such members by themselves, at the latest after the time for which a gang waits (3 s on the users' sites); without that it never ended.

Fix: each step that the server's lists resolved is looked at, however they did.

--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -204,9 +204,13 @@
     Job* job = nullptr;
     Step* step = nullptr;
     Task* task = FindTask(ref, &job, &step);
-    if (task != nullptr && task->maybe_running && task->backend == id) {
+    if (task == nullptr) {
+      continue;
+    }
+    // Also if the lists resolved it: it may be the last one of its gang.
+    steps.insert({ref.job, ref.occurrence, ref.step});
+    if (task->maybe_running && task->backend == id) {
       ClearMaybeRunning(*job, ref, task);
-      steps.insert({ref.job, ref.occurrence, ref.step});
     }
   }
   for (const auto& ref : steps) {
--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -294,4 +294,28 @@
   CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, 0}));
 }
 
+// A new owner finds one member of a gang running, and the ends of the others.
+// The owner never stopped that member, and the gang waited for as long as its
+// run lasted. Which server reports first must not matter.
+TEST(Lost, GangOfWhichAFormerOwnersRunsEndedStartsAgain) {
+  for (uint32_t kept = 0; kept < 3; ++kept) {
+    CellHarness it(3);
+    it.Submit(kJob, CellHarness::Tasks(3, 8000, R"(,"gang":true)"));
+    const TaskRef member{JobId(kJob), 0, 0, kept};
+    CHECK_EQUAL(1, it.Running(member));
+    for (auto& backend : it.backends) {
+      const RunRef run = backend.second.running.begin()->first;
+      if (run.task != member) {
+        backend.second.End(run, RunEnd::kLapsed);
+      }
+    }
+    it.StartOwner(2);
+    it.Advance(3000);
+    CHECK_EQUAL(6U, it.start_log.size());
+    for (uint32_t n = 0; n < 3; ++n) {
+      CHECK_EQUAL(1, it.Running({JobId(kJob), 0, 0, n}));
+    }
+  }
+}
+
 }  // namespace bw::test
