Feature: [Test] Fleets of bwentry whose connections pass the proxy

An EntryFleet may put the fault-injecting proxy between callers, instances, store and backend servers. Instances reach each other through it by the new setting mesh.advertise, and the stand-in announces the proxy's ports for its backend servers.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -44,7 +44,9 @@
       static_cast<size_t>(settings.Real("platform.record_bytes"));
   out.grace = ms("bounds.grace_s", kMsPerSecond);
   out.membership.name = settings.Text("instance.name");
-  out.membership.address = at(port);
+  out.listen_mesh = at(port);
+  const std::string& advertised = settings.Text("mesh.advertise");
+  out.membership.address = advertised.empty() ? out.listen_mesh : advertised;
   out.membership.zone = ZoneId(settings.Text("instance.zone"));
   constexpr double kMillicoresPerCore = 1000;
   out.membership.millicores = static_cast<uint32_t>(
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -82,9 +82,12 @@
 Entry::~Entry() = default;
 
 void Entry::Start(Kernel&) {
-  mesh_ = ListenWithRetry(options_.membership.address, [this] {
+  const std::string& listen = options_.listen_mesh.empty()
+                                  ? options_.membership.address
+                                  : options_.listen_mesh;
+  mesh_ = ListenWithRetry(listen, [this, &listen] {
     return net::MakeMesh(
-        {options_.membership.address, options_.membership.name}, &clock_,
+        {listen, options_.membership.name}, &clock_,
         [this](const proto::Envelope& request, net::Mesh::Reply reply) {
           OnMeshRequest(request, std::move(reply));
         });
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -22,7 +22,9 @@
 
 /// Validated settings of an instance of bwentry.
 struct EntryOptions {
-  std::string listen_front;    ///< "ip:port" for callers.
+  std::string listen_front;  ///< "ip:port" for callers.
+  /// "ip:port" for other instances; empty: membership.address.
+  std::string listen_mesh;
   std::string listen_ready;    ///< "ip:port" of the readiness check.
   std::string listen_metrics;  ///< "ip:port" of the metrics; empty: none.
   std::string store;           ///< "ip:port" of the platform's store.
--- a/src/fake/fake_settings.h
+++ b/src/fake/fake_settings.h
@@ -28,7 +28,9 @@
     kListen,
     kCount,
     {"fake", "zones", SettingType::kInt, "1", 1, 26,
-     "Availability zones of the servers: \"a\", \"b\" and so on."}};
+     "Availability zones of the servers: \"a\", \"b\" and so on."},
+    {"fake", "announced_port", SettingType::kInt, "0", 0, 65535,
+     "First of the ports that the backend servers announce; 0: their own."}};
 
 inline constexpr SettingDesc kRunnerSettings[] = {
     table::kLogLevels,
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -26,6 +26,9 @@
     {"mesh", "first_port", SettingType::kInt, nullptr, 1, 65535,
      "First port of the range reserved for the system's own processes; the "
      "mesh listens on it."},
+    {"mesh", "advertise", SettingType::kText, "", 0, 64,
+     "Address (ip:port) at which other instances reach the mesh; empty: "
+     "mesh.host and mesh.first_port."},
     {"platform", "store", SettingType::kAddress, nullptr, 0, 0,
      "Address of the platform's store."},
     {"platform", "advice", SettingType::kText, "", 0, 64,
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -24,6 +24,11 @@
   int zones = 1;  ///< Of instances and backend servers, if `as_deployed`.
   /// Instances that can be added later by StartEntry, if `as_deployed`.
   int spare = 0;
+  /// Connections pass the fault-injecting proxy; not with `as_deployed`. Links:
+  /// "c>eN" from callers to instance N, "m>eN" from other instances to it,
+  /// "eN>store" from it to the store and the advice service, and "e>bN" from
+  /// instances to backend server N.
+  bool proxied = false;
 };
 
 /// Runs processes of bwentry with one queue "/p/" on host "h" and the accounts
@@ -57,8 +62,12 @@
   std::string FrontOf(int n) const;
   /// Waits for an owner. @return The number of its instance, or -1.
   int WaitForOwner() const;
+  /// @return The number of the owner's instance, or -1.
+  int FindOwner() const;
 
   void Control(const Json& body) const;
+  /// Sends a control call to the proxy; see bwfakeproxy.
+  void ControlLinks(const Json& body) const;
   void Configure(int version, const std::vector<std::string>& keys) const;
   /// @return All runs, from the event records of the stand-in's backend
   /// servers.
@@ -76,13 +85,20 @@
  private:
   std::string SettingsOf(int n) const;
   std::string LogOf(int n) const;
-  int FindOwner() const;
+
   /// @return IP address and first port of instance `n`.
   std::string HostOf(int n) const;
   int PortOf(int n) const;
   /// @return The address of a server of instance `n`, by its offset from the
   /// first port.
   std::string AddressOf(int n, int offset) const;
+  /// @return First port of the proxy: its control address, and then, by
+  /// instance, the links to its front, its mesh and the store, and those to
+  /// backend servers.
+  int ProxyPort() const;
+  std::string ProxyAddress(int instance, int link) const;
+  std::string StoreOf(int n) const;
+  bool StartProxy();
   std::string RenderTemplate(int n) const;
   std::vector<std::string> ArgumentsOf(int n) const;
 
@@ -91,6 +107,7 @@
   std::vector<int> stalled_logs_;  ///< Read ends of pipes.
   std::string directory_;
   ChildProcess platform_;
+  ChildProcess proxy_;
   std::vector<ChildProcess> entries_;
 };
 
