Fix: [Net] A silent handshake kept a peer out of reach for half a minute

Seen: none by callers; found while links were made to fall silent. Cause: the mesh detects silence by heartbeats, which begin only once a connection is set up; before that, ZeroMQ waits 30 s (its default) for the handshake. Evidence: Mesh.PeerIsReachedAfterConnectionFellSilentDuringHandshake failed in 5 of 5 runs before (bound: contactMs, 3 s) and in none of 5 after (1.2 s). Why it works: a connection that is not set up within 1 s is replaced.

--- a/src/net/mesh.cc
+++ b/src/net/mesh.cc
@@ -22,6 +22,8 @@
 constexpr size_t kRingSize = 16'384;  ///< Messages queued for the thread.
 constexpr int kHeartbeatMs = 1000;
 constexpr int kHeartbeatTimeoutMs = 3000;
+/// A connection that is not set up in this time is replaced by a new one.
+constexpr int kHandshakeTimeoutMs = 1000;
 constexpr int kReconnectMs = 100;
 constexpr int64_t kMaxMessageBytes = 32LL << 20;
 /// Interval at which pending requests are checked for timeouts.
@@ -104,6 +106,7 @@
     socket.set(zmq::sockopt::maxmsgsize, kMaxMessageBytes);
     socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
     socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+    socket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
   }
 
   zmq::socket_t& PeerSocket(const std::string& address) {
