Feature: [Test] Stand-in backend servers know gangs, tickets, checkpoints, failures

Also draining and leaving, orders carried out late, and starts beyond the capacity, which are recorded and not refused. The class moves to files of its own; the control protocol is described in bwfakeplatform.cc.

--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -5,11 +5,22 @@
 //   POST /control  {"mood":"well|refuses|loses|silent"}   store's fault mode
 //                  {"crash":N}                            restart backend N
 //                  {"silent":N,"on":b}                    backend N hangs
+//                  {"late":N,"on":b}                      backend N carries
+//                                                         orders out 2 s later
+//                                                         and does not answer
+//                  {"drain":N,"ms":N}                     backend N drains and
+//                                                         leaves; "crash"
+//                                                         brings it back
+//                  {"tickets":b,"share":N}                starts need a ticket;
+//                                                         N percent of backends
+//                                                         may run a step
 //                  {"config":{...}}                       set configuration
-//   GET  /truth    all runs: task, run, backend, began_ms, ended_ms, how,
-//                  forgotten (the end was lost in a crash)
+//   GET  /truth    all runs: task, run, backend, spec, cpu, began_ms, ended_ms,
+//                  how, forgotten (the end was lost in a crash), late (carried
+//                  out late), over (beyond the capacity), bad_saved (not a
+//                  checkpoint of its step)
 //
-// A task whose spec contains "ms=N" takes N ms; others run until stopped.
+// A job's spec tells how its tasks behave: see TaskScript.
 
 #include <algorithm>
 #include <charconv>
@@ -27,18 +38,16 @@
 #include "../../process_func.h"
 #include "../../text_func.h"
 #include "../configuration.h"
+#include "fake_backend.h"
 
 namespace bw::fake {
 namespace {
 
-using Json = nlohmann::json;
 using platform::StoreStatus;
 
-constexpr int kBackendCpu = 8000;
-constexpr int kBackendMemoryMb = 16'000;
-constexpr uint64_t kMaxLeaseMs = 10'000;
 constexpr milliseconds kAnnounceInterval{500};
 constexpr milliseconds kTickInterval{10};
+constexpr int64_t kServersPerRack = 8;
 
 /// @return The value of a numeric query parameter; 0 if absent.
 uint64_t Number(const net::HttpRequest& request, const char* name) {
@@ -72,25 +81,6 @@
   }
 }
 
-net::HttpResponse JsonResponse(int status, const Json& body) {
-  net::HttpResponse out;
-  out.status = status;
-  out.body = body.dump();
-  return out;
-}
-
-/// Ground truth about a run, for the tests' consistency checks.
-struct RunRecord {
-  std::string task;
-  uint64_t run = 0;
-  std::string backend;
-  uint64_t began_ms = 0;
-  uint64_t ended_ms = 0;  ///< 0: still running.
-  std::string how;        ///< Why it ended.
-  /// A crash lost its end before it was acknowledged.
-  bool forgotten = false;
-};
-
 /// HTTP server of the store; expires group members whose TTL has passed.
 /// Thread-safe.
 class StoreServer {
@@ -290,231 +280,6 @@
   std::vector<PendingRead> pending_reads_;
 };
 
-/// A simulated backend server. Thread-safe.
-class Backend {
- public:
-  Backend(std::string id,
-          std::string address,
-          std::string zone,
-          StoreServer* store)
-      : id_(std::move(id)),
-        address_(std::move(address)),
-        zone_(std::move(zone)),
-        store_(store) {}
-
-  void Serve(const net::HttpRequest& request, const net::Responder& respond) {
-    std::lock_guard lock(mutex_);
-    if (silent_) {
-      return;
-    }
-    const std::string name = request.path.substr(request.path.rfind('/') + 1);
-    const Json body = Json::parse(request.body, nullptr, false);
-    if (!body.is_object()) {
-      return respond(JsonResponse(400, Json::object()));
-    }
-    const uint64_t token = body.value("fencingToken", uint64_t{0});
-    if (token < fencing_token_) {
-      return Reject("fence", respond);
-    }
-    fencing_token_ = token;
-    if (name == "run-start") {
-      Start(body, respond);
-    } else if (name == "run-stop") {
-      Stop(body, respond);
-    } else if (name == "hold") {
-      Poll(body, respond);
-    } else {
-      respond(JsonResponse(404, Json::object()));
-    }
-  }
-
-  /// Simulates a crash and restart: ends all runs and resets the lists,
-  /// the fencing token and the lease.
-  void Crash() {
-    std::lock_guard lock(mutex_);
-    while (!running_.empty()) {
-      End(running_.begin()->first, "crashed");
-    }
-    for (const Json& it : ended_) {
-      for (auto& record : run_records_) {
-        record.forgotten =
-            record.forgotten || (record.task == it[1] && record.run == it[2]);
-      }
-    }
-    ended_.clear();
-    last_end_number_ = 0;
-    fencing_token_ = 0;
-    lease_end_ms_ = 0;
-    highest_ended_run_.clear();
-    incarnation_ = NowMs();
-  }
-
-  /// A silent server does not respond to any call.
-  void SetSilent(bool on) {
-    std::lock_guard lock(mutex_);
-    silent_ = on;
-  }
-
-  void Tick() {
-    std::lock_guard lock(mutex_);
-    const uint64_t now = NowMs();
-    std::vector<std::pair<std::string, const char*>> ended;
-    for (const auto& it : running_) {
-      if (now > lease_end_ms_) {
-        ended.emplace_back(it.first, "lapsed");
-      } else if (it.second.done_ms != 0 && now >= it.second.done_ms) {
-        ended.emplace_back(it.first, "done");
-      }
-    }
-    for (const auto& it : ended) {
-      End(it.first, it.second);
-    }
-    auto polls = std::move(pending_polls_);
-    pending_polls_.clear();
-    for (auto& it : polls) {
-      TryFinishPoll(std::move(it), now);
-    }
-  }
-
-  /// Writes the server's entry to the store.
-  void Announce() {
-    std::lock_guard lock(mutex_);
-    const Json entry = {
-        {"service", "s"},
-        {"address", address_},
-        {"zone", zone_},
-        {"state", "ready"},
-        {"sequence", ++announcements_},
-        {"born", incarnation_},
-        {"labels", {"a", "r1"}},
-        {"capacity",
-         {{"cpu", kBackendCpu}, {"memMb", kBackendMemoryMb}, {"gpu", 0}}}};
-    store_->Put(platform::kBackendTopic, id_, entry.dump());
-  }
-
-  /// Appends all runs to `out`.
-  void AppendRunRecords(Json* out) {
-    std::lock_guard lock(mutex_);
-    for (const auto& it : run_records_) {
-      out->push_back({{"task", it.task},
-                      {"run", it.run},
-                      {"backend", id_},
-                      {"began_ms", it.began_ms},
-                      {"ended_ms", it.ended_ms},
-                      {"how", it.how},
-                      {"forgotten", it.forgotten}});
-    }
-  }
-
- private:
-  struct ActiveRun {
-    uint64_t run = 0;
-    uint64_t done_ms = 0;  ///< 0: runs until stopped.
-    size_t record = 0;     ///< Index in run_records_.
-  };
-  struct PendingPoll {
-    uint64_t until_ms = 0;
-    net::Responder respond;
-  };
-
-  static void Reject(const char* reason, const net::Responder& respond) {
-    respond(JsonResponse(409, {{"clockMs", NowMs()}, {"reason", reason}}));
-  }
-
-  void ExtendLease(const Json& body) {
-    const uint64_t wanted = body.value("deadlineMs", uint64_t{0});
-    lease_end_ms_ =
-        std::max(lease_end_ms_, std::min(wanted, NowMs() + kMaxLeaseMs));
-  }
-
-  void Start(const Json& body, const net::Responder& respond) {
-    const std::string task = body.value("task", "");
-    const uint64_t run = body.value("run", uint64_t{0});
-    if (body.value("deadlineMs", uint64_t{0}) < NowMs()) {
-      return Reject("late", respond);
-    }
-    ExtendLease(body);
-    if (highest_ended_run_.contains(task) && highest_ended_run_[task] >= run) {
-      return Reject("old", respond);
-    }
-    if (!running_.contains(task)) {
-      const std::string spec = body.value("spec", "");
-      uint64_t ms = 0;
-      if (const auto n = spec.find("ms="); n != std::string::npos) {
-        std::from_chars(spec.data() + n + 3, spec.data() + spec.size(), ms);
-      }
-      running_[task] = {run, ms == 0 ? 0 : NowMs() + ms, run_records_.size()};
-      run_records_.push_back({task, run, id_, NowMs(), 0, ""});
-    }
-    respond(JsonResponse(200, {{"clockMs", NowMs()}}));
-  }
-
-  void Stop(const Json& body, const net::Responder& respond) {
-    const std::string task = body.value("task", "");
-    highest_ended_run_[task] =
-        std::max(highest_ended_run_[task], body.value("run", uint64_t{0}));
-    if (running_.contains(task)) {
-      End(task, "stopped");
-    }
-    respond(JsonResponse(200, {{"clockMs", NowMs()}}));
-  }
-
-  void Poll(const Json& body, const net::Responder& respond) {
-    ExtendLease(body);
-    const uint64_t acknowledged = body.value("ackCursor", uint64_t{0});
-    std::erase_if(ended_, [&](const Json& it) {
-      return it[0].get<uint64_t>() <= acknowledged;
-    });
-    TryFinishPoll({NowMs() + body.value("waitMs", uint64_t{0}), respond},
-                  NowMs());
-  }
-
-  /// Responds to a poll. Queues it instead if no run has ended yet and its wait
-  /// has not elapsed.
-  void TryFinishPoll(PendingPoll poll, uint64_t now) {
-    if (ended_.empty() && now < poll.until_ms) {
-      pending_polls_.push_back(std::move(poll));
-      return;
-    }
-    Json running = Json::array();
-    for (const auto& it : running_) {
-      running.push_back({it.first, it.second.run, "", 100, 1000});
-    }
-    poll.respond(JsonResponse(200, {{"clockMs", now},
-                                    {"born", incarnation_},
-                                    {"running", running},
-                                    {"ended", ended_}}));
-  }
-
-  /// @param task Not a reference, as it may be the key that is erased.
-  void End(std::string task, const char* how) {
-    const ActiveRun run = running_.at(task);
-    running_.erase(task);
-    highest_ended_run_[task] = std::max(highest_ended_run_[task], run.run);
-    run_records_[run.record].ended_ms = NowMs();
-    run_records_[run.record].how = how;
-    ended_.push_back(Json::array({++last_end_number_, task, run.run, how, ""}));
-  }
-
-  const std::string id_;
-  const std::string address_;
-  const std::string zone_;
-  StoreServer* const store_;
-  std::mutex mutex_;
-  bool silent_ = false;
-  uint64_t incarnation_ = NowMs();
-  uint64_t announcements_ = 0;
-  uint64_t fencing_token_ = 0;
-  uint64_t lease_end_ms_ = 0;
-  uint64_t last_end_number_ = 0;
-  std::map<std::string, ActiveRun> running_;
-  /// By task: highest number of a run that was ended or stopped.
-  std::map<std::string, uint64_t> highest_ended_run_;
-  std::vector<Json> ended_;
-  std::vector<PendingPoll> pending_polls_;
-  std::vector<RunRecord> run_records_;
-};
-
 /// The store, the advice service and all backend servers of this process.
 class Platform {
  public:
@@ -523,9 +288,13 @@
     for (int64_t n = 0; n < count; ++n) {
       const std::string address =
           first.host + ":" + std::to_string(first.port + 1 + n);
-      backends_.push_back(std::make_unique<Backend>(
+      backends_.push_back(std::make_unique<FakeBackend>(
           "b" + std::to_string(n), address,
-          std::string(1, static_cast<char>('a' + n % zones)), &store_));
+          std::string(1, static_cast<char>('a' + n % zones)),
+          "r" + std::to_string(1 + n / kServersPerRack), &shared_,
+          [this](const std::string& id, const std::string& entry) {
+            store_.Put(platform::kBackendTopic, id, entry);
+          }));
       net::HttpServerOptions options;
       options.listen = address;
       servers_.push_back(std::make_unique<net::HttpServer>(
@@ -560,8 +329,15 @@
     } else if (request.path == "/v1/advise") {
       Json good = Json::array();
       const Json body = Json::parse(request.body, nullptr, false);
+      const std::string step = body.value("step", "");
       for (const auto& it : body.value("workers", Json::array())) {
-        good.push_back({it, "ticket"});
+        size_t n = 0;
+        const std::string id = it;
+        std::from_chars(id.data() + 1, id.data() + id.size(), n);
+        if (const auto ticket = backends_.at(n)->TicketFor(step);
+            !ticket.empty()) {
+          good.push_back({it, ticket});
+        }
       }
       respond(JsonResponse(200, {{"good", good}, {"validMs", 2000}}));
     } else {
@@ -589,6 +365,18 @@
       backends_.at(body["silent"].get<size_t>())
           ->SetSilent(body.value("on", true));
     }
+    if (body.contains("late")) {
+      backends_.at(body["late"].get<size_t>())->SetLate(body.value("on", true));
+    }
+    if (body.contains("drain")) {
+      backends_.at(body["drain"].get<size_t>())
+          ->Drain(body.value("ms", uint64_t{0}));
+    }
+    if (body.contains("tickets")) {
+      std::lock_guard lock(shared_.mutex);
+      shared_.tickets_required = body.value("tickets", false);
+      shared_.advice_share = body.value("share", uint64_t{100});
+    }
   }
 
   void Tick() {
@@ -608,7 +396,8 @@
   }
 
   StoreServer store_;
-  std::vector<std::unique_ptr<Backend>> backends_;
+  SharedState shared_;
+  std::vector<std::unique_ptr<FakeBackend>> backends_;
   std::vector<std::unique_ptr<net::HttpServer>> servers_;
   TimerThread timer_thread_;
 };
