--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -16,7 +16,8 @@
 //                                                         may run a step
 //                  {"config":{...}}                       set configuration
 //   GET  /truth    all runs: task, run, backend, spec, cpu, began_ms, ended_ms,
-//                  how, forgotten (the end was lost in a crash), late (carried
+//                  how, forgotten (the end was lost in a crash), lapsed_unread
+//                  (a lease lapsed before the end was read), late (carried
 //                  out late), over (beyond the capacity), bad_saved (not a
 //                  checkpoint of its step)
 //
--- a/src/platform/fake/fake_backend.cc
+++ b/src/platform/fake/fake_backend.cc
@@ -114,11 +114,8 @@
 }
 
 void FakeBackend::Reset() {
-  for (const Json& it : ended_) {
-    for (auto& record : run_records_) {
-      record.forgotten =
-          record.forgotten || (record.task == it[1] && record.run == it[2]);
-    }
+  for (const auto& it : ended_) {
+    run_records_[it.record].forgotten = true;
   }
   ended_.clear();
   late_orders_.clear();
@@ -168,6 +165,11 @@
     gone_ = true;
     announce_(id_, "");
   }
+  if (now > lease_end_ms_) {
+    for (const auto& it : ended_) {
+      run_records_[it.record].lapsed_unread = true;
+    }
+  }
   std::vector<std::pair<RunKey, const char*>> ended;
   for (const auto& it : running_) {
     const char* how =
@@ -270,6 +272,7 @@
                     {"ended_ms", it.ended_ms},
                     {"how", it.how},
                     {"forgotten", it.forgotten},
+                    {"lapsed_unread", it.lapsed_unread},
                     {"late", it.late},
                     {"over", it.over},
                     {"bad_saved", it.bad_saved}});
@@ -332,8 +335,13 @@
         static_cast<uint32_t>(ToNumber(step.substr(step.rfind('.') + 1))));
     added.began_ms = now;
     added.record = run_records_.size();
-    RunRecord record{task, run,   spec, added.script.cpu, now, 0,
-                     "",   false, late};
+    RunRecord record;
+    record.task = task;
+    record.run = run;
+    record.spec = spec;
+    record.cpu = added.script.cpu;
+    record.began_ms = now;
+    record.late = late;
     if (const std::string saved = body.value("saved", ""); !saved.empty()) {
       const auto parts = SplitList(saved, kCheckpointSeparator);
       record.bad_saved = parts.size() != 2 || parts[0] != step;
@@ -369,8 +377,8 @@
 void FakeBackend::Poll(const Json& body, const net::Responder& respond) {
   ExtendLease(body);
   const uint64_t acknowledged = body.value("ackCursor", uint64_t{0});
-  std::erase_if(ended_, [&](const Json& it) {
-    return it[0].get<uint64_t>() <= acknowledged;
+  std::erase_if(ended_, [&](const EndRow& it) {
+    return it.row[0].get<uint64_t>() <= acknowledged;
   });
   TryFinishPoll({NowMs() + body.value("waitMs", uint64_t{0}), respond},
                 NowMs());
@@ -399,7 +407,7 @@
   }
   Json ended = Json::array();
   for (size_t n = 0; n < std::min(ended_.size(), kMaxListedEnds); ++n) {
-    ended.push_back(ended_[n]);
+    ended.push_back(ended_[n].row);
   }
   poll.respond(JsonResponse(200, {{"clockMs", now},
                                   {"born", incarnation_},
@@ -409,7 +417,6 @@
 
 void FakeBackend::End(RunKey key, const char* how) {
   const ActiveRun run = running_.at(key);
-  std::string saved;
   if (SharedState::Gang* gang = GangOf(key, run)) {
     gang->present.erase(key.first);
     if (gang->complete_ms != 0 && gang->ended.empty()) {
@@ -422,7 +429,8 @@
   run_records_[run.record].ended_ms = NowMs();
   run_records_[run.record].how = how;
   ended_.push_back(
-      Json::array({++last_end_number_, key.first, key.second, how, ""}));
+      {Json::array({++last_end_number_, key.first, key.second, how, ""}),
+       run.record});
 }
 
 }  // namespace bw::fake
--- a/src/platform/fake/fake_backend.h
+++ b/src/platform/fake/fake_backend.h
@@ -44,6 +44,8 @@
   std::string how;        ///< Why it ended.
   /// A crash lost its end before it was acknowledged.
   bool forgotten = false;
+  /// The lease lapsed between its end and the end's acknowledgement.
+  bool lapsed_unread = false;
   bool late = false;       ///< The start was carried out late.
   bool over = false;       ///< Brought the server over its capacity.
   bool bad_saved = false;  ///< Its checkpoint was not one of its step.
@@ -159,7 +161,11 @@
   std::map<RunKey, ActiveRun> running_;
   /// By task: highest number of a run that was ended or stopped.
   std::map<std::string, uint64_t> highest_ended_run_;
-  std::vector<Json> ended_;
+  struct EndRow {
+    Json row;
+    size_t record = 0;  ///< Index in run_records_.
+  };
+  std::vector<EndRow> ended_;
   std::vector<PendingPoll> pending_polls_;
   std::vector<LateOrder> late_orders_;
   std::vector<RunRecord> run_records_;
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -17,6 +17,8 @@
 constexpr int kPortsPerEntry = 4;
 constexpr milliseconds kStartTimeout{20'000};
 constexpr milliseconds kCallTimeout{4000};
+/// Instances may be stopped.
+constexpr milliseconds kProbeTimeout{500};
 
 /// First port of an instance with an address of its own.
 constexpr int kDeployedPort = 7420;
@@ -257,6 +259,7 @@
   for (size_t n = 0; n < entries_.size(); ++n) {
     net::HttpCall call;
     call.url = "http://" + AddressOf(static_cast<int>(n), 3) + "/metrics";
+    call.timeout = kProbeTimeout;
     const auto result = net::CallAndWait(call);
     if (result.body.find("bw_owner 1") != std::string::npos) {
       return static_cast<int>(n);
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -57,6 +57,9 @@
   std::string FrontOf(int n) const;
   /// Waits for an owner. @return The number of its instance, or -1.
   int WaitForOwner() const;
+  /// @return The number of an instance that says now that it is the owner, or
+  /// -1.
+  int FindOwner() const;
 
   void Control(const Json& body) const;
   void Configure(int version, const std::vector<std::string>& keys) const;
@@ -76,7 +79,6 @@
  private:
   std::string SettingsOf(int n) const;
   std::string LogOf(int n) const;
-  int FindOwner() const;
   /// @return IP address and first port of instance `n`.
   std::string HostOf(int n) const;
   int PortOf(int n) const;
