--- a/test/process_fault_test.cc
+++ b/test/process_fault_test.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <cstdlib>
 #include <random>
 #include <string>
@@ -51,7 +52,9 @@
     for (int n = 0; n < count; ++n) {
       fds_.push_back(
           socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-      connect(fds_.back(), reinterpret_cast<sockaddr*>(&to), sizeof(to));
+      const int code =
+          connect(fds_.back(), reinterpret_cast<sockaddr*>(&to), sizeof(to));
+      CHECK(code == 0 || errno == EINPROGRESS);
     }
   }
   ~IdleConnections() {
