Fix: [Net] Each silent connection to a server cost a call its time-out

Cause: libcurl reuses idle connections. After a time-out it closes the one that was used and takes the next of up to eight silent ones (store: the same), so a server was out of reach for one time-out each. Why it works: after a call without a response, connections to that server that were open by then serve no further calls.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -25,6 +25,8 @@
 constexpr int kMaxPollMs = 1000;
 constexpr int kMaxEvents = 256;  ///< Events handled after one wait.
 constexpr int64_t kMaxConnectMs = 2000;
+/// libcurl closes connections that were idle for longer than this (118 s).
+constexpr milliseconds kMaxIdle{120'000};
 
 /// State of one call; the libcurl easy handle points to its buffers.
 struct Transfer {
@@ -277,10 +279,45 @@
       curl_easy_reset(easy);
     }
     SetUp(easy, transfer.get());
+    AvoidSilentConnections(easy, transfer->call.url);
     active_[easy] = std::move(transfer);
     curl_multi_add_handle(multi_, easy);
   }
 
+  /// @return The part of a URL before the path, which names the server.
+  static std::string ServerOf(const std::string& url) {
+    constexpr std::string_view kSeparator = "://";
+    const size_t scheme = url.find(kSeparator);
+    return scheme == std::string::npos
+               ? url
+               : url.substr(0, url.find('/', scheme + kSeparator.size()));
+  }
+
+  /// Connections may fall silent without a reset, and then all of a server at
+  /// once. After a call without a response, those that were open by then serve
+  /// no further calls, or each of them would cost a call its time.
+  void AvoidSilentConnections(CURL* easy, const std::string& url) {
+    const auto it = silent_at_.find(ServerOf(url));
+    if (it == silent_at_.end()) {
+      return;
+    }
+    const auto age = BootClock::now() - it->second;
+    if (age > kMaxIdle) {
+      silent_at_.erase(it);
+      return;
+    }
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(age).count();
+    // libcurl compares whole seconds, and takes 0 for no limit: one second less
+    // excludes all connections that were open then.
+    if (seconds < 2) {
+      curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    } else {
+      curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+                       static_cast<long>(seconds - 1));
+    }
+  }
+
   /// Completes the calls that libcurl reports as ended.
   void FinishCompleted() {
     int left = 0;
@@ -293,6 +330,9 @@
       curl_multi_remove_handle(multi_, easy);
       auto node = active_.extract(easy);
       Finish(easy, code, node.mapped().get());
+      if (code == CURLE_OPERATION_TIMEDOUT) {
+        silent_at_[ServerOf(node.mapped()->call.url)] = BootClock::now();
+      }
       idle_.push_back(easy);
       RunGuarded(Part::kKernel, "http_callback", [&] {
         node.mapped()->done(std::move(node.mapped()->result));
@@ -306,6 +346,8 @@
   const int wake_fd_;
   std::atomic<bool> woken_{false};  ///< `wake_fd_` was not read since a Wake.
   std::unordered_map<CURL*, std::unique_ptr<Transfer>> active_;
+  /// By server: when a call last ended without a response.
+  std::unordered_map<std::string, Time> silent_at_;
   std::vector<CURL*> idle_;  ///< Easy handles available for reuse.
   std::jthread thread_;
 };
