Fix: [Net] Requests sent ahead over a connection were cut off at a stop

What callers saw: an instance that stops (or whose view of the configuration is old) answers the first of several requests sent ahead over one connection with "Connection: close" and closes; the others, read or waiting in the socket, got no response.

Cause: RESTinio read one request at a time, so neither it nor the front knew that there were more when the response was marked as the last.

Now up to four requests are received ahead and handled in turn, as one may depend on the one before. A response closes the connection only if no other request was received over it; if reading paused at the fourth, the connection stays open, as there may be more. As the server now reads while it handles a call, it would see the end of what a caller sends and close at once: the socket reports that end only after the responses. An exception of a handler is answered with 500.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,6 +1,8 @@
 #include "http_server.h"
 
 #include <algorithm>
+#include <deque>
+#include <map>
 #include <mutex>
 #include <restinio/all.hpp>
 #include <unordered_map>
@@ -10,11 +12,12 @@
 namespace bw::net {
 namespace {
 
-struct Traits : restinio::default_traits_t {
-  using request_handler_t = std::function<restinio::request_handling_status_t(
-      restinio::request_handle_t)>;
-};
-using Server = restinio::http_server_t<Traits>;
+using Tcp = asio::ip::tcp;
+using Endpoint = Tcp::endpoint;
+
+/// Requests of one connection that are received before they are answered.
+constexpr size_t kMaxPipelined = 4;
+constexpr int kInternalError = 500;
 
 std::string Lower(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(),
@@ -41,7 +44,9 @@
   return out;
 }
 
-void Respond(const restinio::request_handle_t& handle, HttpResponse response) {
+void Respond(const restinio::request_handle_t& handle,
+             HttpResponse response,
+             std::function<void()> on_written) {
   auto code =
       restinio::http_status_code_t{static_cast<uint16_t>(response.status)};
   auto out = handle->create_response(restinio::http_status_line_t{
@@ -54,46 +59,194 @@
     out.connection_close();
   }
   out.set_body(std::move(response.body));
-  out.done();
+  out.done([on_written = std::move(on_written)](const auto&) { on_written(); });
 }
 
 /// The calls without a response. Their handles refer to the server's sockets,
 /// so none may outlive the server. Thread-safe.
-class OpenCalls {
+class OpenCalls : public std::enable_shared_from_this<OpenCalls> {
  public:
+  explicit OpenCalls(asio::io_context* context) : context_(context) {}
+
   /// @return The call's number.
   uint64_t Add(restinio::request_handle_t handle) {
     std::lock_guard lock(mutex_);
-    handles_.emplace(++last_number_, std::move(handle));
+    ++last_number_;
+    Connection& connection = connections_[handle->remote_endpoint()];
+    ++connection.unanswered;
+    ++connection.unwritten;
+    connection.newest = last_number_;
+    connection.is_reading = connection.unwritten < kMaxPipelined;
+    handles_.emplace(last_number_, std::move(handle));
     return last_number_;
   }
 
-  /// Sends the response unless there was one or the server has ended.
+  /// Calls `handle` for the call received last over its connection, once the
+  /// earlier calls of that connection are answered: a request may depend on the
+  /// one before it.
+  void HandleInTurn(const Endpoint& peer, std::function<void()> handle) {
+    {
+      std::lock_guard lock(mutex_);
+      if (Connection& connection = connections_[peer];
+          connection.unanswered > 1) {
+        connection.waiting.push_back(std::move(handle));
+        return;
+      }
+    }
+    handle();
+  }
+
+  /// Sends the response unless there was one or the server has ended. Closes
+  /// the connection only if no other request was received over it.
   void Respond(uint64_t number, HttpResponse response) {
     // Held while the response is sent, so that Close waits for it.
     std::lock_guard lock(mutex_);
-    if (auto node = handles_.extract(number); !node.empty()) {
-      net::Respond(node.mapped(), std::move(response));
+    const auto node = handles_.extract(number);
+    if (node.empty()) {
+      return;
     }
+    const Endpoint peer = node.mapped()->remote_endpoint();
+    Connection& connection = connections_[peer];
+    // Behind a request with which reading has paused there may be others.
+    response.close = response.close && connection.newest == number &&
+                     connection.unanswered == 1 && connection.is_reading;
+    EndTurn(&connection);
+    net::Respond(
+        node.mapped(), std::move(response),
+        [calls = shared_from_this(), peer] { calls->OnWritten(peer); });
   }
 
   void Remove(uint64_t number) {
     std::lock_guard lock(mutex_);
-    handles_.erase(number);
+    if (const auto node = handles_.extract(number); !node.empty()) {
+      const Endpoint peer = node.mapped()->remote_endpoint();
+      EndTurn(&connections_[peer]);
+      OnWritten(peer);
+    }
+  }
+
+  /// Calls `then` once all responses to `peer` are written.
+  void AfterResponses(const Endpoint& peer, std::function<void()> then) {
+    {
+      std::lock_guard lock(mutex_);
+      if (auto it = connections_.find(peer); it != connections_.end()) {
+        it->second.on_idle = std::move(then);
+        return;
+      }
+    }
+    then();
   }
 
   /// Gives up all calls.
   void Close() {
     std::lock_guard lock(mutex_);
     handles_.clear();
+    connections_.clear();
   }
 
  private:
-  std::mutex mutex_;
+  struct Connection {
+    size_t unanswered = 0;
+    size_t unwritten = 0;
+    uint64_t newest = 0;     ///< The call received last.
+    bool is_reading = true;  ///< More requests would have been received.
+    std::deque<std::function<void()>> waiting;
+    std::function<void()> on_idle;
+  };
+
+  void EndTurn(Connection* connection) {
+    --connection->unanswered;
+    if (!connection->waiting.empty()) {
+      asio::post(*context_, std::move(connection->waiting.front()));
+      connection->waiting.pop_front();
+    }
+  }
+
+  void OnWritten(const Endpoint& peer) {
+    std::function<void()> on_idle;
+    std::lock_guard lock(mutex_);
+    auto it = connections_.find(peer);
+    if (it != connections_.end() && --it->second.unwritten == 0) {
+      on_idle = std::move(it->second.on_idle);
+      connections_.erase(it);
+    }
+    if (on_idle) {
+      on_idle();
+    }
+  }
+
+  /// Recursive, as a response to a connection that has ended is reported as
+  /// written before the call that sends it returns.
+  std::recursive_mutex mutex_;
+  asio::io_context* const context_;
   std::unordered_map<uint64_t, restinio::request_handle_t> handles_;
+  std::map<Endpoint, Connection> connections_;
   uint64_t last_number_ = 0;
 };
 
+/// Makes a server's open calls known to its sockets.
+class OpenCallsService : public asio::execution_context::service {
+ public:
+  using key_type = OpenCallsService;
+  static inline asio::execution_context::id id;
+
+  explicit OpenCallsService(asio::execution_context& context)
+      : service(context) {}
+  void shutdown() override { calls_.reset(); }
+
+  void SetCalls(std::shared_ptr<OpenCalls> it) { calls_ = std::move(it); }
+  const std::shared_ptr<OpenCalls>& Calls() const { return calls_; }
+
+ private:
+  std::shared_ptr<OpenCalls> calls_;
+};
+
+/// A socket that reports the end of what the caller sends only after the
+/// responses: RESTinio then closes the connection at once.
+class CallerSocket : public Tcp::socket {
+ public:
+  explicit CallerSocket(asio::io_context& context)
+      : Tcp::socket(context),
+        calls_(asio::use_service<OpenCallsService>(context).Calls()) {}
+
+  /// @pre `handler` keeps this socket alive.
+  template <typename Buffers, typename Handler>
+  void async_read_some(const Buffers& buffers, Handler handler) {
+    const auto executor =
+        asio::get_associated_executor(handler, get_executor());
+    Tcp::socket::async_read_some(
+        buffers,
+        asio::bind_executor(
+            executor, [this, executor, handler = std::move(handler)](
+                          const asio::error_code& ec, size_t length) mutable {
+              if (ec != asio::error::eof) {
+                handler(ec, length);
+                return;
+              }
+              asio::error_code no_peer;
+              const Endpoint peer = remote_endpoint(no_peer);
+              if (no_peer) {
+                handler(ec, length);
+                return;
+              }
+              calls_->AfterResponses(peer, [executor, handler, ec] {
+                asio::post(executor,
+                           [handler, ec]() mutable { handler(ec, 0); });
+              });
+            }));
+  }
+
+ private:
+  /// Constant, as RESTinio goes on using sockets that it has moved from.
+  const std::shared_ptr<OpenCalls> calls_;
+};
+
+struct Traits : restinio::default_traits_t {
+  using stream_socket_t = CallerSocket;
+  using request_handler_t = std::function<restinio::request_handling_status_t(
+      restinio::request_handle_t)>;
+};
+
 /// A call while its responder exists. Thread-safe.
 class OpenCall {
  public:
@@ -115,7 +268,10 @@
 }  // namespace
 
 struct HttpServer::Impl {
-  std::shared_ptr<OpenCalls> open_calls = std::make_shared<OpenCalls>();
+  Impl() { asio::use_service<OpenCallsService>(context).SetCalls(open_calls); }
+
+  asio::io_context context;
+  std::shared_ptr<OpenCalls> open_calls = std::make_shared<OpenCalls>(&context);
   restinio::running_server_handle_t<Traits> server;
 };
 
@@ -123,16 +279,26 @@
     : impl_(std::make_unique<Impl>()) {
   auto on_request = [handler = std::move(handler), calls = impl_->open_calls](
                         restinio::request_handle_t handle) {
-    const HttpRequest request = ToRequest(handle);
+    HttpRequest request = ToRequest(handle);
+    const Endpoint peer = handle->remote_endpoint();
     const auto call = std::make_shared<OpenCall>(calls, std::move(handle));
-    handler(request, [call](HttpResponse response) {
-      call->Respond(std::move(response));
+    calls->HandleInTurn(peer, [handler, call, request = std::move(request)] {
+      try {
+        handler(request, [call](HttpResponse response) {
+          call->Respond(std::move(response));
+        });
+      } catch (const std::exception&) {
+        HttpResponse out;
+        out.status = kInternalError;
+        out.close = true;
+        call->Respond(std::move(out));
+      }
     });
     return restinio::request_accepted();
   };
   const auto address = SplitAddress(options.listen);
   impl_->server = restinio::run_async<Traits>(
-      restinio::own_io_context(),
+      restinio::external_io_context(impl_->context),
       restinio::server_settings_t<Traits>{}
           .address(address.host)
           .socket_options_setter([](auto& options) {
@@ -143,7 +309,7 @@
           .read_next_http_message_timelimit(options.read_timeout)
           .handle_request_timeout(options.handle_timeout)
           .write_http_response_timelimit(options.read_timeout)
-          .max_pipelined_requests(1)
+          .max_pipelined_requests(kMaxPipelined)
           .incoming_http_msg_limits(
               restinio::incoming_http_msg_limits_t{}.max_body_size(
                   options.max_body_bytes))
--- a/test/http_server_test.cc
+++ b/test/http_server_test.cc
@@ -7,6 +7,8 @@
 #include <asio.hpp>
 #include <cerrno>
 #include <mutex>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "support/process.h"
@@ -54,10 +56,126 @@
   return n == 0 || (n < 0 && errno == ECONNRESET);
 }
 
+/// Reads until the other side closes the connection or 2 s pass without a byte.
+std::string ReadToEnd(Tcp::socket* socket) {
+  const timeval timeout{2, 0};
+  setsockopt(socket->native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout,
+             sizeof(timeout));
+  std::string out;
+  char buf[4096];
+  ssize_t n = 0;
+  while ((n = recv(socket->native_handle(), buf, sizeof(buf), 0)) > 0) {
+    out.append(buf, static_cast<size_t>(n));
+  }
+  return out;
+}
+
+int CountResponses(const std::string& text) {
+  int out = 0;
+  for (size_t at = 0; (at = text.find("HTTP/1.1 200", at)) != std::string::npos;
+       ++at) {
+    ++out;
+  }
+  return out;
+}
+
+constexpr const char* kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+/// Longer than the server takes to read what was sent.
+constexpr milliseconds kReadPause{200};
+
+/// Responds to one held call after the other, as they come, until `count`.
+void RespondToAll(CallKeeper* keeper, int count, bool close) {
+  int done = 0;
+  Eventually(
+      [&] {
+        for (const auto& it : keeper->Take()) {
+          net::HttpResponse response;
+          response.close = close;
+          it(response);
+          ++done;
+        }
+        return done >= count;
+      },
+      milliseconds(2000));
+}
+
 }  // namespace
 
 TEST_GROUP(HttpServer){};
 
+TEST(HttpServer, AConnectionClosesAfterTheLastOfThePipelinedRequests) {
+  const int port = FreePorts(1);
+  CallKeeper keeper;
+  net::HttpServerOptions options;
+  options.listen = "127.0.0.1:" + std::to_string(port);
+  const net::HttpServer server(
+      options, [&](const net::HttpRequest&, net::Responder respond) {
+        keeper.Keep(std::move(respond));
+      });
+  asio::io_context io;
+  for (const int requests : {1, 2, 3, 4, 5, 9}) {
+    auto socket = Connect(&io, port);
+    std::string bytes;
+    for (int n = 0; n < requests; ++n) {
+      bytes += kRequest;
+    }
+    asio::write(socket, asio::buffer(bytes));
+    std::this_thread::sleep_for(kReadPause);
+    RespondToAll(&keeper, requests, /*close=*/true);
+    socket.shutdown(Tcp::socket::shutdown_send);
+    LONGS_EQUAL(requests, CountResponses(ReadToEnd(&socket)));
+  }
+}
+
+TEST(HttpServer, PipelinedRequestsAreHandledInTurn) {
+  const int port = FreePorts(1);
+  CallKeeper keeper;
+  net::HttpServerOptions options;
+  options.listen = "127.0.0.1:" + std::to_string(port);
+  const net::HttpServer server(
+      options, [&](const net::HttpRequest&, net::Responder respond) {
+        keeper.Keep(std::move(respond));
+      });
+  asio::io_context io;
+  auto socket = Connect(&io, port);
+  constexpr int kRequests = 3;
+  for (int n = 0; n < kRequests; ++n) {
+    asio::write(socket, asio::buffer(std::string(kRequest)));
+  }
+  for (int n = 0; n < kRequests; ++n) {
+    std::this_thread::sleep_for(kReadPause);
+    LONGS_EQUAL(1, keeper.size());
+    RespondToAll(&keeper, 1, /*close=*/false);
+  }
+}
+
+TEST(HttpServer, ACallerThatEndsItsSideGetsTheResponses) {
+  const int port = FreePorts(1);
+  CallKeeper keeper;
+  net::HttpServerOptions options;
+  options.listen = "127.0.0.1:" + std::to_string(port);
+  const net::HttpServer server(
+      options, [&](const net::HttpRequest&, net::Responder respond) {
+        keeper.Keep(std::move(respond));
+      });
+  asio::io_context io;
+  for (const int requests : {1, 3, 6}) {
+    auto socket = Connect(&io, port);
+    std::string bytes;
+    for (int n = 0; n < requests; ++n) {
+      bytes += kRequest;
+    }
+    asio::write(socket, asio::buffer(bytes));
+    socket.shutdown(Tcp::socket::shutdown_send);
+    std::this_thread::sleep_for(kReadPause);
+    RespondToAll(&keeper, requests, /*close=*/false);
+    const Time began = BootClock::now();
+    LONGS_EQUAL(requests, CountResponses(ReadToEnd(&socket)));
+    // The server ends its side, too.
+    CHECK(BootClock::now() - began < milliseconds(1000));
+  }
+}
+
 TEST(HttpServer, CallsMayBeAnsweredAfterTheServerHasEnded) {
   constexpr size_t kCalls = 8;
   const int port = FreePorts(1);
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <map>
 #include <sstream>
+#include <thread>
 
 namespace bw::test {
 namespace {
@@ -17,6 +18,8 @@
 constexpr int kPortsPerEntry = 4;
 constexpr milliseconds kStartTimeout{20'000};
 constexpr milliseconds kCallTimeout{4000};
+/// Between the parts of a settings file that is written in two parts.
+constexpr milliseconds kPauseInWrite{3};
 
 /// First port of an instance with an address of its own.
 constexpr int kDeployedPort = 7420;
@@ -211,10 +214,27 @@
   return directory_ + "/e" + std::to_string(n) + ".ini";
 }
 
-void EntryFleet::ChangeSettings(int n, const std::string& text) const {
-  std::string out =
+void EntryFleet::ChangeSettings(int n,
+                                const std::string& text,
+                                WriteMode mode) const {
+  const std::string out =
       options_.as_deployed ? ReplaceSettings(RenderTemplate(n), text) : text;
-  std::ofstream(SettingsOf(n), std::ios::trunc) << out;
+  const std::string file = SettingsOf(n);
+  switch (mode) {
+    case WriteMode::kInPlace:
+      std::ofstream(file, std::ios::trunc) << out;
+      return;
+    case WriteMode::kInTwoParts: {
+      std::ofstream stream(file, std::ios::trunc);
+      stream << out.substr(0, out.size() / 2) << std::flush;
+      std::this_thread::sleep_for(kPauseInWrite);
+      stream << out.substr(out.size() / 2);
+      return;
+    }
+    case WriteMode::kRename:
+      std::ofstream(file + ".new", std::ios::trunc) << out;
+      std::filesystem::rename(file + ".new", file);
+  }
 }
 
 net::HttpResult EntryFleet::Call(int n,
@@ -274,7 +294,8 @@
 }
 
 void EntryFleet::Configure(int version,
-                           const std::vector<std::string>& keys) const {
+                           const std::vector<std::string>& keys,
+                           int extra_queues) const {
   Json tenants = Json::array();
   for (size_t n = 0; n < 2; ++n) {
     Json row = {{"name", "t" + std::to_string(n)},
@@ -285,19 +306,21 @@
     }
     tenants.push_back(row);
   }
+  Json routes = Json::array();
+  for (int n = 0; n <= extra_queues; ++n) {
+    const std::string suffix = n == 0 ? "" : std::to_string(n);
+    routes.push_back(
+        {{"name", "q" + suffix},
+         {"host", "h"},
+         {"pathPrefix", "/p" + suffix + "/"},
+         {"service", "s"},
+         {"maxAttempts", 3},
+         {"stretch", 2.0},
+         {"targetLatencyMs", 1000},
+         {"advice", {{"decideMs", 1.0}, {"eachMs", 0.1}, {"validMs", 2000}}}});
+  }
   Control({{"config",
-            {{"version", version},
-             {"routes",
-              {{{"name", "q"},
-                {"host", "h"},
-                {"pathPrefix", "/p/"},
-                {"service", "s"},
-                {"maxAttempts", 3},
-                {"stretch", 2.0},
-                {"targetLatencyMs", 1000},
-                {"advice",
-                 {{"decideMs", 1.0}, {"eachMs", 0.1}, {"validMs", 2000}}}}}},
-             {"tenants", tenants}}}});
+            {{"version", version}, {"routes", routes}, {"tenants", tenants}}}});
 }
 
 Json EntryFleet::AllRuns() const {
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -40,9 +40,12 @@
   /// @return False if the instances do not serve calls in time.
   bool Start();
   void StartEntry(int n);
+  enum class WriteMode : uint8_t { kInPlace, kInTwoParts, kRename };
   /// Replaces the settings file of one instance without a signal to the
   /// process. If `as_deployed`, `text` replaces what the template sets.
-  void ChangeSettings(int n, const std::string& text) const;
+  void ChangeSettings(int n,
+                      const std::string& text,
+                      WriteMode mode = WriteMode::kInPlace) const;
   ChildProcess& Entry(int n) { return entries_[static_cast<size_t>(n)]; }
 
   net::HttpResult Call(int n,
@@ -59,7 +62,10 @@
   int WaitForOwner() const;
 
   void Control(const Json& body) const;
-  void Configure(int version, const std::vector<std::string>& keys) const;
+  /// @param extra_queues Number of further queues "/p1/", "/p2/", ...
+  void Configure(int version,
+                 const std::vector<std::string>& keys,
+                 int extra_queues = 0) const;
   /// @return All runs, from the event records of the stand-in's backend
   /// servers.
   Json AllRuns() const;
