Revert "Fix: [Placer] Tasks of a lost server stood still for 11 s under a new owner"

Leases of owners were capped at 6 s so that a new owner waits 6.6 s for those of a server that it cannot reach.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -61,10 +61,7 @@
                ms("platform.member_ttl_min_ms"));
   out.membership.join_every =
       milliseconds(settings.Int("timing.join_every_ms"));
-  out.cell.server_max_lease = ms("bounds.hold_max_ms");
-  out.cell.max_lease =
-      std::min(out.cell.server_max_lease,
-               milliseconds(settings.Int("timing.max_lease_ms")));
+  out.cell.max_lease = ms("bounds.hold_max_ms");
   constexpr int kPercent = 100;
   out.cell.lease =
       out.cell.max_lease * settings.Int("timing.lease_percent") / kPercent;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -37,10 +37,6 @@
 struct CellOptions {
   uint64_t fencing_token = 0;  ///< Higher than any former owner's.
   /// Longest lease that backend servers accept.
-  milliseconds server_max_lease{10'000};
-  /// Time after which no lease of an owner that lost its right to act remains:
-  /// a new owner waits for it where it reaches no server. Not above
-  /// `server_max_lease`.
   milliseconds max_lease{10'000};
   milliseconds lease{6'500};  ///< Lease duration requested; below `max_lease`.
   milliseconds ended_job_retention{120'000};  ///< Retention time of ended jobs.
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -145,12 +145,9 @@
   server->strikes = 0;
   server->next_poll_at = kNever;
   ends_to_acknowledge_.erase(server->entry.id);
-  // An order to the former incarnation that arrives late names an end on the
-  // former clock, which this one shortens to the longest that it accepts.
   server->unknown_leases_lapse_at =
       now +
-      std::chrono::duration_cast<Duration>(options_.server_max_lease /
-                                           kSlowestClock) +
+      std::chrono::duration_cast<Duration>(options_.max_lease / kSlowestClock) +
       milliseconds(kLapseSlackMs);
   for (const auto& it : lost) {
     OnRunGone(server, it, "new incarnation", now);
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -55,15 +55,9 @@
      "replaced after this time."},
     {"timing", "join_every_ms", SettingType::kInt, "300", 50, 10000,
      "Interval between renewals of the group membership, in ms."},
-    {"timing", "max_lease_ms", SettingType::kInt, "6000", 500, 600000,
-     "Longest time that tasks stay leased by an owner whose membership has "
-     "ended, in ms; at most bounds.hold_max_ms. A new owner waits for this "
-     "time "
-     "before it repeats the tasks of a server that does not respond. The same "
-     "for all instances."},
     {"timing", "lease_percent", SettingType::kInt, "65", 10, 100,
-     "Task lease in percent of that time. An owner whose membership has ended "
-     "renews leases for the rest of it."},
+     "Task lease in percent of bounds.hold_max_ms. An owner whose membership "
+     "has ended renews leases for the rest of that time."},
 };
 
 }  // namespace bw::table
