--- a/src/process_func.h
+++ b/src/process_func.h
@@ -68,7 +68,7 @@
 void WaitForStopSignal(const std::function<void()>& on_reload = {});
 
 /// Starts the kernel's services, waits for SIGTERM or SIGINT, then drains and
-/// stops them. A second signal skips the rest of the drain.
+/// stops them. SIGINT skips the rest of the drain; a repeated SIGTERM does not.
 /// @param drain_limit Longest wait for unfinished work.
 /// @param on_reload See WaitForStopSignal.
 /// @return kOk, or kFailed if a service could not start or work was cut off.
