Fix: [Net] A listener accepted no more calls once descriptors had run out

Callers would see: connections to that instance are never answered again, while its readiness check, on a listener of its own, still succeeds. Cause: RESTinio starts no further accept after one that failed, and asio reports want of descriptors as a failure. Callers' connections had no limit. Fix: connections are limited so that descriptors remain for all else, and the connections kept to backend servers follow the limit in force rather than the configured one. Left: an accept that fails for another reason (ENOBUFS, ENOMEM).

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -34,9 +34,12 @@
   if (const int64_t n = settings.Int("listen.metrics_offset"); n > 0) {
     out.listen_metrics = at(port + n);
   }
-  out.backend_connections = static_cast<long>(std::max(
-      kMinBackendConnections,
-      static_cast<int64_t>(settings.Real("instance.max_fds")) - kOtherFds));
+  const auto wanted_fds =
+      static_cast<uint64_t>(settings.Real("instance.max_fds"));
+  const auto fds =
+      static_cast<int64_t>(std::min(wanted_fds, RaiseFileLimit(wanted_fds)));
+  out.backend_connections =
+      static_cast<long>(std::max(kMinBackendConnections, fds - kOtherFds));
   out.store = settings.Text("platform.store");
   out.advice = settings.Text("platform.advice");
   out.max_call_bytes =
@@ -129,8 +132,6 @@
     return exit_code;
   }
   UseStructuredOutput();
-  RaiseFileLimit(
-      static_cast<uint64_t>(line->settings.Real("instance.max_fds")));
   const EntryOptions options = OptionsFrom(line->settings);
   LogEvent(Part::kKernel, "start",
            {{"instance", options.membership.name},
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,5 +1,7 @@
 #include "http_server.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -242,6 +244,7 @@
 };
 
 struct Traits : restinio::default_traits_t {
+  static constexpr bool use_connection_count_limiter = true;
   using stream_socket_t = CallerSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
       restinio::request_handle_t)>;
@@ -265,6 +268,16 @@
   const uint64_t number_;
 };
 
+/// RESTinio never accepts again after an accept has failed, as for want of
+/// descriptors. So callers must leave some.
+size_t MaxConnections() {
+  constexpr rlim_t kOtherFds = 1000;
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  return limit.rlim_cur > 2 * kOtherFds ? limit.rlim_cur - kOtherFds
+                                        : limit.rlim_cur / 2;
+}
+
 }  // namespace
 
 struct HttpServer::Impl {
@@ -310,6 +323,7 @@
           .handle_request_timeout(options.handle_timeout)
           .write_http_response_timelimit(options.read_timeout)
           .max_pipelined_requests(kMaxPipelined)
+          .max_parallel_connections(MaxConnections())
           .incoming_http_msg_limits(
               restinio::incoming_http_msg_limits_t{}.max_body_size(
                   options.max_body_bytes))
--- a/src/process.cc
+++ b/src/process.cc
@@ -213,12 +213,13 @@
   mallopt(M_ARENA_MAX, kMaxArenas);
 }
 
-void RaiseFileLimit(uint64_t wanted) {
+uint64_t RaiseFileLimit(uint64_t wanted) {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < wanted) {
     limit.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
     setrlimit(RLIMIT_NOFILE, &limit);
   }
+  return limit.rlim_cur;
 }
 
 void RunMain(int (*main)(int, const char**), int argc, const char** argv) {
--- a/src/process_func.h
+++ b/src/process_func.h
@@ -50,7 +50,8 @@
 
 /// Raises the soft limit on file descriptors to `wanted`, or as far as the hard
 /// limit allows.
-void RaiseFileLimit(uint64_t wanted);
+/// @return The limit in force.
+uint64_t RaiseFileLimit(uint64_t wanted);
 
 /// Bounds the address space, runs `main` and exits with its return value, or
 /// with kFailed if it throws. Static objects are not destroyed.
--- a/test/process_fault_test.cc
+++ b/test/process_fault_test.cc
@@ -179,6 +179,29 @@
   }));
 }
 
+// An accept that failed for want of descriptors was the last one.
+TEST(ProcessFault, CallersAreAcceptedAgainAfterDescriptorsRanOut) {
+  constexpr rlim_t kLimit = 256;
+  constexpr int kIdle = 400;
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  fleet.StartEntry(0);
+  const rlimit limit{kLimit, kLimit};
+  LONGS_EQUAL(0, prlimit(fleet.Entry(0).Pid(), RLIMIT_NOFILE, &limit, nullptr));
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  {
+    const IdleConnections idle(fleet.FrontOf(0), kIdle);
+    std::this_thread::sleep_for(milliseconds(500));
+    CHECK(fleet.IsReady(0));
+  }
+  CHECK(Eventually(
+      [&] {
+        return fleet.Call(0, "POST", kJob, EntryJob(1, 50)).status == 200;
+      },
+      milliseconds(5000)));
+}
+
 // The platform replaces the settings file while the process starts. A file that
 // was not there at that moment ended it at once.
 TEST(ProcessFault, SettingsFileThatIsMissingForAMomentIsWaitedFor) {
