--- a/src/bin/bwentry_launch.cc
+++ b/src/bin/bwentry_launch.cc
@@ -38,6 +38,7 @@
   constexpr const char* kOwnFolder = "$ORIGIN/";
   void* library = Load(kOwnFolder, static_cast<int>(strlen(kOwnFolder)));
   if (library == nullptr && argc > 0) {
+    fprintf(stderr, "%s\n", dlerror());
     // The own folder is not known if /proc is not there.
     const char* end = strrchr(argv[0], '/');
     library =
--- a/test/support/work_model.h
+++ b/test/support/work_model.h
@@ -75,6 +75,10 @@
 };
 
 struct WorkAudit {
+  WorkAudit() = default;
+  WorkAudit(const WorkAudit&) = delete;
+  WorkAudit& operator=(const WorkAudit&) = delete;
+
   Json runs;  ///< From the stand-in of the platform.
   std::map<std::string, WorkRecord> records;
   std::vector<CalmSpan> calm;
