--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -244,6 +244,7 @@
 };
 
 struct Traits : restinio::default_traits_t {
+  // The name is RESTinio's. NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool use_connection_count_limiter = true;
   using stream_socket_t = CallerSocket;
   using request_handler_t = std::function<restinio::request_handling_status_t(
