--- a/test/support/work_model.h
+++ b/test/support/work_model.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace bw::test {
@@ -75,7 +76,7 @@
 };
 
 struct WorkAudit {
-  WorkAudit() = default;
+  explicit WorkAudit(Json all_runs) : runs(std::move(all_runs)) {}
   WorkAudit(const WorkAudit&) = delete;
   WorkAudit& operator=(const WorkAudit&) = delete;
 
--- a/test/work_soak_test.cc
+++ b/test/work_soak_test.cc
@@ -539,7 +539,7 @@
   Ledger ledger;
   Disruptor disruptor(&fleet, &ledger, seed);
   disruptor.Configure();
-  WorkAudit audit;
+  WorkAudit audit(Json::array());
   {
     std::vector<std::jthread> threads;
     threads.reserve(kCallers);
