--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -25,6 +25,8 @@
   bool reachable = true;
   bool needs_ticket = false;  ///< Starts without a ticket are rejected.
   bool holds_polls = false;   ///< Polls are executed but not answered yet.
+  bool slow_stops = false;    ///< Stopped runs go on until it is false again.
+  bool listed = true;         ///< A new owner finds its entry.
   int lost_answers = 0;       ///< So many starts are executed but not answered.
   size_t max_listed_ends = 500;           ///< Ends in one report.
   std::set<RunRef> idle_runs;             ///< Runs that use no processor time.
@@ -61,13 +63,22 @@
   }
 
   OrderResult Stop(const RunRef& run) {
-    if (running.contains(run)) {
+    if (running.contains(run) && !slow_stops) {
       End(run, RunEnd::kStopped);
     }
     stopped[run] = 1;
     return OrderResult::kDone;
   }
 
+  void SetSlowStops(bool slow) {
+    slow_stops = slow;
+    for (const auto& it : stopped) {
+      if (!slow && running.contains(it.first)) {
+        End(it.first, RunEnd::kStopped);
+      }
+    }
+  }
+
   BackendReport Poll(const platform::PollRequest& request) {
     BackendReport out;
     if (request.fencing_token < token) {
@@ -163,7 +174,9 @@
     }
     cell->OnLoaded(now);
     for (auto& it : backends) {
-      cell->SetBackend(it.second.entry, now);
+      if (it.second.listed) {
+        cell->SetBackend(it.second.entry, now);
+      }
     }
     DeliverAll();
   }
@@ -255,6 +268,7 @@
       }
       if (backend.holds_polls) {
         held_reports.emplace_back(it.backend, report);
+        held_since.push_back(now);
         continue;
       }
       cell->OnPollResponse(it.backend, report, now, now);
@@ -302,6 +316,7 @@
   std::vector<FakeCellPort::SentStart> unanswered_starts;
   std::vector<std::pair<BackendId, RunRef>> stop_log;
   std::vector<std::pair<BackendId, BackendReport>> held_reports;
+  std::vector<Time> held_since;  ///< When these polls were executed.
 };
 
 }  // namespace bw::test
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -86,19 +86,24 @@
   /// Stores all pending batches, as the platform's store would.
   void StorePending() {
     while (!pending_batches.empty()) {
-      Batch batch = std::move(pending_batches.front());
-      pending_batches.pop_front();
-      for (const auto& it : batch.records) {
-        largest_record = std::max(largest_record, it.size());
-        const auto record = platform::ReadKeyedRecord(it);
-        if (record.value.empty()) {
-          stored.erase(record.key);
-        } else {
-          stored[record.key] = record.value;
-        }
+      StoreNext()();
+    }
+  }
+
+  /// Stores the oldest pending batch. @return Its callback.
+  std::function<void()> StoreNext() {
+    Batch batch = std::move(pending_batches.front());
+    pending_batches.pop_front();
+    for (const auto& it : batch.records) {
+      largest_record = std::max(largest_record, it.size());
+      const auto record = platform::ReadKeyedRecord(it);
+      if (record.value.empty()) {
+        stored.erase(record.key);
+      } else {
+        stored[record.key] = record.value;
       }
-      batch.done();
     }
+    return batch.done;
   }
 
   mutable Time clock{Duration(0)};
