Feature: [Cell] Nothing starts in an availability zone that the operator has evacuated (EVAC)

Ruled out: a state of the owner's alone, read at take-over. It needs rules for new, paused and restarted owners, and none covers a relay that holds an order up.

Change: every instance follows the operator's records already. An EvacuationView holds the zones and when the read that proved them current was sent. A start leaves only while the view is younger than bounds.evacuate_ms less a margin and doesn't name the zone; checked when tasks are placed, when their record is stored, by the thread that sends, and by the relay. A relay that alone can't read the records hands starts back and the owner sends them itself. What runs there goes on; evacuated servers hold no reservations and are not asked about.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -71,6 +71,7 @@
   out.cell.ended_job_retention = ms("bounds.status_s", kMsPerSecond);
   out.cell.far_factor = std::max(1.0, settings.Real("bounds.far_x"));
   out.front.revoke = ms("bounds.revoke_ms");
+  out.evacuate = ms("bounds.evacuate_ms");
   return out;
 }
 
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -85,6 +85,11 @@
   virtual void OnFenced() = 0;
   /// @return True while the owner is allowed to start tasks.
   virtual bool MayAct() const = 0;
+  /// @return True while tasks may start in the availability zone: its
+  /// evacuation is neither known nor possible.
+  virtual bool MayStartIn(const ZoneId& zone, Time now) const = 0;
+  /// Called when a task that was placed in the zone may not start there.
+  virtual void OnStartHeldBack(const ZoneId& zone, Time now) = 0;
   /// @return True while leases may be renewed: while the owner may act, and
   /// for the time `after` that a new owner waits before it acts.
   virtual bool MayRenew(milliseconds after) const = 0;
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -40,6 +40,9 @@
   } else if (!server->lists_read || server->entry.draining ||
              server->suspect_until > now) {
     why_not = "backend server draining or not responding";
+  } else if (!port_->MayStartIn(server->entry.zone, now)) {
+    why_not = "its zone is evacuated or may be";
+    port_->OnStartHeldBack(server->entry.zone, now);
   } else if (job->policy.advice) {
     const auto ticket = step->advice.admitted.find(server->entry.id);
     if (ticket == step->advice.admitted.end() ||
@@ -103,6 +106,10 @@
       server->suspect_until > now || !port_->MayAct()) {
     return false;
   }
+  if (!port_->MayStartIn(server->entry.zone, now)) {
+    port_->OnStartHeldBack(server->entry.zone, now);
+    return false;
+  }
   live->repeated = true;
   LogEvent(Part::kPlacer, "start_repeated",
            {{"task", platform::TaskName(run.task)},
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -69,7 +69,8 @@
     const bool open = server.listed && server.lists_read &&
                       server.record_stored && !server.entry.draining &&
                       server.unknown_job_runs == 0 &&
-                      server.suspect_until <= pass->now;
+                      server.suspect_until <= pass->now &&
+                      port_->MayStartIn(server.entry.zone, pass->now);
     if (open) {
       server.pass_index = static_cast<uint32_t>(pass->servers.size());
       pass->servers.push_back(&server);
--- a/src/config_watch.cc
+++ b/src/config_watch.cc
@@ -19,8 +19,10 @@
 
 }  // namespace
 
-ConfigWatch::ConfigWatch(platform::Store* store, EventLoop* core)
-    : store_(store), core_(core) {}
+ConfigWatch::ConfigWatch(platform::Store* store,
+                         EventLoop* core,
+                         EvacuationView* evacuations)
+    : store_(store), core_(core), evacuations_(evacuations) {}
 
 void ConfigWatch::Start(std::function<void(const ConfigPtr&)> on_change) {
   on_change_ = std::move(on_change);
@@ -70,8 +72,14 @@
     first_page_ = false;
     compacted_read_sent_ = sent;
     next_offset_ = response.end;
+    listing_end_ = response.end;
+    listed_evacuations_.clear();
   }
   for (const auto& it : response.records) {
+    if (const auto zone = platform::ReadEvacuationKey(it.key);
+        zone && !it.value.empty()) {
+      listed_evacuations_.insert(*zone);
+    }
     Apply(it);
   }
   if (response.more && !response.records.empty()) {
@@ -80,6 +88,7 @@
   }
   compacted_read_done_ = true;
   current_at_ = compacted_read_sent_;
+  EndListing();
   ReadTail();
 }
 
@@ -101,9 +110,13 @@
   }
   current_at_ = sent;
   for (const auto& it : response.records) {
-    Apply(platform::ReadKeyedRecord(it));
+    platform::KeyedRecord record = platform::ReadKeyedRecord(it);
+    record.offset = next_offset_++;
+    Apply(record);
+  }
+  if (next_offset_ >= response.end) {  // A long response is cut off.
+    evacuations_->OnCurrent(sent);
   }
-  next_offset_ += response.records.size();
   if (!stopped_) {
     ReadTail();
   }
@@ -120,7 +133,30 @@
   retry_at_ = now + kRetryPause;
 }
 
+void ConfigWatch::ApplyEvacuation(const ZoneId& zone,
+                                  const platform::KeyedRecord& record) {
+  const bool evacuated = !record.value.empty();
+  if (evacuations_->Apply(zone, evacuated, record.offset)) {
+    LogEvent(Part::kConfig, evacuated ? "zone_evacuated" : "zone_taken_back",
+             {{"zone", zone.value}, {"offset", record.offset}});
+  }
+}
+
+/// Takes back the evacuations whose records are gone from the operator's.
+void ConfigWatch::EndListing() {
+  for (const auto& zone :
+       evacuations_->Retain(listed_evacuations_, listing_end_)) {
+    LogEvent(Part::kConfig, "zone_taken_back",
+             {{"zone", zone.value}, {"why", "no record any more"}});
+  }
+  evacuations_->OnCurrent(compacted_read_sent_);
+}
+
 void ConfigWatch::Apply(const platform::KeyedRecord& record) {
+  if (const auto zone = platform::ReadEvacuationKey(record.key)) {
+    ApplyEvacuation(*zone, record);
+    return;
+  }
   if (record.key != platform::kConfigKey || record.value.empty()) {
     return;
   }
--- a/src/config_watch_base.h
+++ b/src/config_watch_base.h
@@ -1,11 +1,14 @@
-// Follows the operator's configuration in the platform's store by long polling.
+// Follows the operator's configuration and evacuations in the platform's store
+// by long polling.
 #pragma once
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "cell_type.h"
+#include "evacuation_base.h"
 #include "event_loop_base.h"
 #include "platform/store.h"
 
@@ -17,8 +20,10 @@
  public:
   using ConfigPtr = std::shared_ptr<const CellConfig>;
 
-  /// @pre `store` and `core` outlive the watch.
-  ConfigWatch(platform::Store* store, EventLoop* core);
+  /// @pre All outlive the watch.
+  ConfigWatch(platform::Store* store,
+              EventLoop* core,
+              EvacuationView* evacuations);
 
   /// Sets the callback. @param on_change Runs for each new configuration.
   void Start(std::function<void(const ConfigPtr&)> on_change);
@@ -39,9 +44,14 @@
   void OnTail(const platform::ReadResponse& response, Time sent);
   void OnFailure(platform::StoreStatus status);
   void Apply(const platform::KeyedRecord& record);
+  void ApplyEvacuation(const ZoneId& zone, const platform::KeyedRecord& record);
+  void EndListing();
 
   platform::Store* const store_;
   EventLoop* const core_;
+  EvacuationView* const evacuations_;
+  std::set<ZoneId> listed_evacuations_;  ///< In the listing under way.
+  Offset listing_end_ = 0;               ///< End of the records when it began.
   std::function<void(const ConfigPtr&)> on_change_;
   ConfigPtr config_;
   Time current_at_ = kNever;  ///< When the last successful read was sent.
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -68,14 +68,18 @@
           kCoreGap,
           [this] { Tick(); },
           [] { LogEvent(Part::kKernel, "process_was_held_up", {}); }),
-      config_(store_.get(), &core_),
+      evacuations_(options_.evacuate),
+      config_(store_.get(), &core_, &evacuations_),
       membership_(options_.membership, store_.get(), &core_),
       advisor_(options_.advice, http_.get(), &core_),
       owner_(options_.cell,
              options_.max_call_bytes,
              {store_.get(), http_.get(), &core_, &membership_, &config_,
-              &advisor_, &metrics_}),
-      relay_server_(http_.get(), &core_),
+              &advisor_, &metrics_, &evacuations_}),
+      relay_server_(http_.get(),
+                    &core_,
+                    &evacuations_,
+                    options_.membership.zone),
       front_(options_.front,
              {&core_, &membership_, &config_, &owner_, &metrics_}) {}
 
@@ -137,6 +141,7 @@
 }
 
 void Entry::Reload(const EntryOptions& options) {
+  evacuations_.SetBound(options.evacuate);
   core_.Post([this, cell = options.cell, front = options.front] {
     owner_.SetOptions(cell);
     front_.SetOptions(front);
@@ -208,6 +213,8 @@
                static_cast<double>(counts.usable_servers));
   metrics_.Set("bw_free_millicores", "",
                static_cast<double>(counts.free_millicores));
+  metrics_.Set("bw_evacuated_zones", "",
+               static_cast<double>(evacuations_.Zones().size()));
   metrics_.Set("bw_config_age_seconds", "", config_.ConfigAgeMs(now) / 1000.0);
   metrics_.Set(
       "bw_config_version", "",
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -32,6 +32,7 @@
   long backend_connections = 1024;  ///< Kept open to backend servers.
   size_t max_call_bytes = 1 << 20;  ///< Most record bytes in one store call.
   milliseconds grace{6000};         ///< Between SIGTERM and SIGKILL.
+  milliseconds evacuate{0};         ///< See EvacuationView; 0: without a limit.
   MembershipOptions membership;
   CellOptions cell;
   FrontOptions front;
@@ -73,6 +74,7 @@
   std::unique_ptr<net::HttpClient> store_http_;
   std::unique_ptr<platform::Store> store_;
   EventLoop core_;
+  EvacuationView evacuations_;
   ConfigWatch config_;
   Membership membership_;
   Advisor advisor_;
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -244,11 +244,31 @@
                    self.address);
 }
 
+void Owner::OnStartHeldBack(const ZoneId& zone, Time now) {
+  const bool evacuated =
+      parts_.evacuations->CheckStart(zone, now) == StartPermission::kEvacuated;
+  parts_.metrics->Count(
+      "bw_starts_held_back_total",
+      evacuated ? R"(why="zone evacuated")" : R"(why="view too old")");
+}
+
+/// Logs when starts stop because the operator's records cannot be read, and
+/// when they go on.
+void Owner::LogHeldStarts(Time now) {
+  const bool held = !parts_.evacuations->IsCurrent(now);
+  if (held != starts_held_) {
+    starts_held_ = held;
+    LogEvent(Part::kPlacer, held ? "starts_held" : "starts_go_on",
+             {{"view_age_ms", parts_.config->ConfigAgeMs(now)}});
+  }
+}
+
 void Owner::Tick(Time now) {
   relay_.Tick(now);
   if (!cell_) {
     return;
   }
+  LogHeldStarts(now);
   if (retry_step_ && now >= retry_at_) {
     auto retry = std::move(retry_step_);
     retry_step_ = nullptr;
@@ -338,7 +358,11 @@
   parts_.metrics->Count("bw_orders_total", R"(kind="start")");
   relay_.Send(
       to, platform::MakeStartCall(to, order, timeout),
-      [membership = parts_.membership] { return membership->MayAct(); },
+      [membership = parts_.membership, evacuations = parts_.evacuations,
+       zone = to.zone] {
+        return membership->MayAct() &&
+               evacuations->MayStartIn(zone, BootClock::now());
+      },
       BindToTenure(
           [this, id = to.id, run, sent](const net::HttpResult& result) {
             const Time now = BootClock::now();
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -44,6 +44,7 @@
   ConfigWatch* config = nullptr;
   Advisor* advisor = nullptr;
   Metrics* metrics = nullptr;
+  const EvacuationView* evacuations = nullptr;
 };
 
 /// Belongs to the core thread.
@@ -112,11 +113,16 @@
   }
   void OnFenced() override;
   bool MayAct() const override;
+  bool MayStartIn(const ZoneId& zone, Time now) const override {
+    return parts_.evacuations->MayStartIn(zone, now);
+  }
+  void OnStartHeldBack(const ZoneId& zone, Time now) override;
   Time ReadClock() const override;
   bool MayRenew(milliseconds after) const override;
   bool IsStoreResponsive() const override;
 
   void ChooseRelays(Time now);
+  void LogHeldStarts(Time now);
   void FenceFormerOwners();
   void LoadRecords(const std::string& after);
   void OnRecordPage(const platform::NewestResponse& response);
@@ -151,6 +157,7 @@
   Time gained_at_ = kNever;
   std::function<void()> retry_step_;  ///< The step of the take-over to repeat.
   Time retry_at_ = kNever;
+  bool starts_held_ = false;  ///< The evacuations known are too old.
   bool backends_loaded_ = false;
   bool reading_backends_ = false;
   Offset next_backend_offset_ = 0;
--- a/src/platform/backend.cc
+++ b/src/platform/backend.cc
@@ -19,6 +19,7 @@
 constexpr size_t kMaxListedEnds = 500;
 /// Largest load metric that is taken over.
 constexpr double kMaxLoad = 1e12;
+constexpr const char* kStartMethod = "run-start";
 constexpr const char* kExpectInstanceHeader = "Bilberrywing-Expect-Instance";
 
 constexpr std::array<std::pair<const char*, RunEnd>, 6> kRunEndNames = {{
@@ -180,7 +181,11 @@
   if (!order.ticket.empty()) {
     body["ticket"] = order.ticket;
   }
-  return MakeCall(backend, "run-start", body, timeout);
+  return MakeCall(backend, kStartMethod, body, timeout);
+}
+
+bool IsStartCall(const std::string& url) {
+  return url.ends_with(std::string("/") + kStartMethod);
 }
 
 net::HttpCall MakeStopCall(const BackendEntry& backend,
--- a/src/platform/backend.h
+++ b/src/platform/backend.h
@@ -37,6 +37,8 @@
 net::HttpCall MakeStartCall(const BackendEntry& backend,
                             const StartOrder& order,
                             milliseconds timeout);
+/// @return True if a call with this URL starts a task.
+bool IsStartCall(const std::string& url);
 net::HttpCall MakeStopCall(const BackendEntry& backend,
                            const RunRef& run,
                            uint64_t fencing_token,
--- a/src/platform/configuration.cc
+++ b/src/platform/configuration.cc
@@ -1,6 +1,7 @@
 #include "configuration.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "../text_func.h"
 #include "json_func.h"
@@ -13,6 +14,7 @@
 /// Larger values would overflow when times are derived from them.
 constexpr double kMaxStretch = 1000;
 constexpr double kMaxAdviceMs = 60'000;
+constexpr std::string_view kEvacuationPrefix = "evacuate/";
 
 CellQueue ParseQueue(const json& route) {
   CellQueue out;
@@ -88,4 +90,12 @@
   return out;
 }
 
+std::optional<ZoneId> ReadEvacuationKey(const std::string& key) {
+  if (!key.starts_with(kEvacuationPrefix) ||
+      key.size() == kEvacuationPrefix.size()) {
+    return std::nullopt;
+  }
+  return ZoneId(key.substr(kEvacuationPrefix.size()));
+}
+
 }  // namespace bw::platform
--- a/src/platform/configuration.h
+++ b/src/platform/configuration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "../cell_type.h"
@@ -18,4 +19,9 @@
 /// @return The configuration, or nullptr if it has no valid version.
 std::shared_ptr<const CellConfig> ReadConfiguration(const std::string& value);
 
+/// @return The availability zone that a record of the operator with this key
+/// evacuates; nothing if the key is of another kind. The record's value means
+/// nothing, except that none takes the evacuation back.
+std::optional<ZoneId> ReadEvacuationKey(const std::string& key);
+
 }  // namespace bw::platform
--- a/src/platform/fake/bwfakeplatform.cc
+++ b/src/platform/fake/bwfakeplatform.cc
@@ -15,6 +15,8 @@
 //                                                         N percent of backends
 //                                                         may run a step
 //                  {"config":{...}}                       set configuration
+//                  {"evacuate":"zone","on":b}             evacuate a zone, or
+//                                                         take that back
 //   GET  /truth    all runs: task, run, backend, spec, cpu, began_ms, ended_ms,
 //                  how, forgotten (the end was lost in a crash), lapsed_unread
 //                  (a lease lapsed before the end was read), late (carried
@@ -366,6 +368,11 @@
       store_.Put(platform::kOperatorTopic, platform::kConfigKey,
                  body["config"].dump());
     }
+    if (body.contains("evacuate")) {
+      store_.Put(platform::kOperatorTopic,
+                 "evacuate/" + body["evacuate"].get<std::string>(),
+                 body.value("on", true) ? "{}" : "");
+    }
     if (body.contains("crash")) {
       backends_.at(body["crash"].get<size_t>())->Crash();
     }
--- a/src/relay_client.cc
+++ b/src/relay_client.cc
@@ -140,6 +140,15 @@
   }
 }
 
+/// Sends a start that its relay held back. Thread-safe.
+void RelayClient::SendHeldBack(uint64_t number) {
+  for (auto& it : Extract({number})) {
+    Avoid(it.relay, "cannot read the operator's records", kSilentBackoff);
+    direct_->Send(std::move(it.call), std::move(it.may_send),
+                  std::move(it.done));
+  }
+}
+
 void RelayClient::Avoid(const std::string& relay,
                         const char* why,
                         Duration duration) {
@@ -165,6 +174,10 @@
 
 void RelayClient::OnResults(const proto::RelayResults& results) {
   for (const auto& it : results.results()) {
+    if (it.status() == kHeldBackByRelay) {
+      SendHeldBack(it.number());
+      continue;
+    }
     for (auto& pending : Extract({it.number()})) {
       net::HttpResult result;
       constexpr auto kLast =
--- a/src/relay_client_base.h
+++ b/src/relay_client_base.h
@@ -61,6 +61,7 @@
   void FlushTo(const std::string& relay, const std::vector<uint64_t>& numbers);
   void SendDirectly(const std::string& relay,
                     const std::vector<uint64_t>& numbers);
+  void SendHeldBack(uint64_t number);
   void Avoid(const std::string& relay, const char* why, Duration duration);
   std::vector<Pending> Extract(const std::vector<uint64_t>& numbers);
 
--- a/src/relay_func.h
+++ b/src/relay_func.h
@@ -15,6 +15,10 @@
 /// entry has none.
 using RelaysByZone = std::map<ZoneId, std::vector<std::string>>;
 
+/// Status in the result of a call that a relay did not send because it knows
+/// too little of evacuations. No HTTP status.
+inline constexpr int kHeldBackByRelay = 1;
+
 /// Chooses the relays: none in a small cell, whose owner sends all calls
 /// itself; else in each zone as many of its instances as its backend servers
 /// need, the largest first. A relay shares the fate of its zone's servers when
--- a/src/relay_server.cc
+++ b/src/relay_server.cc
@@ -1,5 +1,8 @@
 #include "relay_server_base.h"
 
+#include "platform/backend.h"
+#include "relay_func.h"
+
 #include <memory>
 #include <utility>
 
@@ -25,10 +28,21 @@
     }
     call.body = it.body();
     call.timeout = milliseconds(std::min(it.timeout_ms(), kMaxTimeoutMs));
+    const bool start = platform::IsStartCall(call.url);
+    std::function<bool()> may_send;
+    if (start) {
+      may_send = [this] {
+        return evacuations_->MayStartIn(zone_, BootClock::now());
+      };
+    }
     http_->Send(
-        std::move(call), {},
-        [this, to = request.reply_to(),
-         number = it.number()](net::HttpResult result) {
+        std::move(call), std::move(may_send),
+        [this, to = request.reply_to(), number = it.number(),
+         start](net::HttpResult result) {
+          if (start && result.delivery == net::DeliveryStatus::kNotSent &&
+              !evacuations_->IsCurrent(BootClock::now())) {
+            result.status = kHeldBackByRelay;
+          }
           Outgoing out;
           out.result.set_number(number);
           out.result.set_delivery(static_cast<uint32_t>(result.delivery));
--- a/src/relay_server_base.h
+++ b/src/relay_server_base.h
@@ -7,19 +7,31 @@
 #include <mutex>
 #include <string>
 
+#include "evacuation_base.h"
 #include "event_loop_base.h"
 #include "net/http_client.h"
 #include "net/mesh.h"
 
 namespace bw {
 
-/// Decides nothing: sends each call once and reports how it ended. Results that
-/// come in together go back in one message.
+/// Sends each call once and reports how it ended; decides nothing, except that
+/// starts are held back while this instance knows too little of evacuations.
+/// Results that come in together go back in one message.
 class RelayServer {
  public:
-  /// @pre `http` and `core` outlive this.
-  RelayServer(net::HttpClient* http, EventLoop* core)
-      : http_(http), core_(core) {}
+  /// @param evacuations Checked right before a start is sent, as the process
+  /// may have been paused since the owner checked.
+  /// @param zone Zone of the backend servers that this instance relays for,
+  /// which is its own.
+  /// @pre All outlive this.
+  RelayServer(net::HttpClient* http,
+              EventLoop* core,
+              const EvacuationView* evacuations,
+              ZoneId zone)
+      : http_(http),
+        core_(core),
+        evacuations_(evacuations),
+        zone_(std::move(zone)) {}
 
   void SetMesh(net::Mesh* mesh) { mesh_ = mesh; }
 
@@ -40,6 +52,8 @@
 
   net::HttpClient* const http_;
   EventLoop* const core_;
+  const EvacuationView* const evacuations_;
+  const ZoneId zone_;
   net::Mesh* mesh_ = nullptr;
   std::mutex mutex_;  ///< Guards the members below.
   std::map<std::string, std::deque<Outgoing>> outbox_;  ///< By owner.
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -50,6 +50,11 @@
     {"bounds", "far_x", SettingType::kReal, "2", 0, 10000,
      "Factor by which tasks run slower far from their data or spread over "
      "several racks."},
+    {"bounds", "evacuate_ms", SettingType::kReal, "0", 0, 86400000,
+     "Time until nothing starts any more in an availability zone that the "
+     "operator has evacuated, in ms. Starts stop while the operator's records "
+     "cannot be read for nearly as long. 0: known evacuations are heeded, "
+     "without a limit."},
     {"timing", "member_ttl_ms", SettingType::kInt, "1200", 500, 60000,
      "TTL of a membership in the owners' group, in ms. A failed owner is "
      "replaced after this time."},
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -191,7 +191,8 @@
   FakeHttp http;
   FakeMesh mesh;
   EventLoop core{milliseconds(5), milliseconds(5000), [] {}, [] {}};
-  RelayServer server(&http, &core);
+  const EvacuationView evacuations{milliseconds(0)};
+  RelayServer server(&http, &core, &evacuations, ZoneId("a"));
   server.SetMesh(&mesh);
   proto::RelayRequest request;
   request.set_reply_to("owner:1");
@@ -223,4 +224,55 @@
   CHECK_EQUAL(1U, mesh.sent.size());
 }
 
+// Load: starts on their way through an instance that was paused, or is cut from
+// the store, while the operator evacuates its zone.
+TEST(Relay, RelayChecksEvacuationsRightBeforeAStartLeaves) {
+  FakeHttp http;
+  FakeMesh mesh;
+  EventLoop core{milliseconds(5), milliseconds(5000), [] {}, [] {}};
+  EvacuationView evacuations{milliseconds(5000)};
+  RelayServer server(&http, &core, &evacuations, ZoneId("a"));
+  server.SetMesh(&mesh);
+  proto::RelayRequest request;
+  auto* call = request.add_calls();
+  call->set_method("POST");
+  call->set_timeout_ms(500);
+  const auto relay = [&](const char* url) {
+    call->set_url(url);
+    server.OnRequest(request);
+    server.Tick(BootClock::now());
+    return http.calls.size();
+  };
+  const char* start = "http://10.0.0.1:80/v1/run-start";
+  CHECK_EQUAL(0U, relay(start));  // It has read no records yet.
+  LONGS_EQUAL(kHeldBackByRelay,
+              mesh.sent[0].envelope.relay_results().results(0).status());
+  CHECK_EQUAL(1U, relay("http://10.0.0.1:80/v1/hold"));
+  evacuations.OnCurrent(BootClock::now());
+  CHECK_EQUAL(2U, relay(start));
+  evacuations.Apply(ZoneId("a"), true, 1);
+  CHECK_EQUAL(2U, relay(start));
+  LONGS_EQUAL(0, mesh.sent.back().envelope.relay_results().results(0).status());
+  evacuations.Apply(ZoneId("a"), false, 2);
+  evacuations.OnCurrent(BootClock::now());
+  CHECK_EQUAL(3U, relay(start));
+}
+
+// Load: a relay that alone cannot read the operator's records.
+TEST(Relay, StartThatARelayHeldBackIsSentDirectly) {
+  Fixture it;
+  it.Send(ServerIn("a", 1));
+  it.client.Flush();
+  CHECK_EQUAL(1U, it.mesh.sent.size());
+  proto::RelayResults results;
+  auto* result = results.add_results();
+  result->set_number(
+      it.mesh.sent[0].envelope.relay_request().calls(0).number());
+  result->set_delivery(static_cast<uint32_t>(net::DeliveryStatus::kNotSent));
+  result->set_status(kHeldBackByRelay);
+  it.client.OnResults(results);
+  CHECK_EQUAL(1U, it.http.calls.size());
+  CHECK_TRUE(it.ended.empty());
+}
+
 }  // namespace bw::test
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -528,7 +528,8 @@
   fake::MemoryStore store;
   EventLoop loop{milliseconds(5), milliseconds(5000),
                  [this] { watch.Tick(BootClock::now()); }, [] {}};
-  ConfigWatch watch{&store, &loop};
+  EvacuationView evacuations{milliseconds(2000)};
+  ConfigWatch watch{&store, &loop, &evacuations};
 
   ConfigFixture() {
     watch.Start([](const ConfigWatch::ConfigPtr&) {});
@@ -609,4 +610,56 @@
   it.loop.Stop();
 }
 
+// Load: a zone is evacuated and taken back; a value that cannot be read; one
+// taken back in history that is removed before it is read.
+TEST(ConfigWatch, EvacuationsFollowTheOperatorsRecords) {
+  ConfigFixture it;
+  const auto put = [&](const std::string& key, const std::string& value) {
+    it.loop.Post([&it, key, value] { it.store.Put(kOperator, key, value); });
+    it.RunFor(60);
+  };
+  const auto allowed = [&](const char* zone) {
+    return it.evacuations.MayStartIn(ZoneId(zone), BootClock::now());
+  };
+  it.store.Put(kOperator, "evacuate/a", "{}");
+  CHECK_FALSE(allowed("b"));  // Nothing is known yet.
+  it.loop.Start();
+  it.RunFor(60);
+  CHECK_FALSE(allowed("a"));
+  CHECK(allowed("b"));
+  put("evacuate/b", "\xff{");
+  CHECK_FALSE(allowed("b"));
+  put("evacuate/", "{}");
+  put("evacuate/a", "");
+  CHECK(allowed("a"));
+  it.loop.Post([&] {
+    it.store.Put(kOperator, "evacuate/b", "");
+    it.store.Put(kOperator, "evacuate/b", "");
+    it.store.compacted[kOperator].erase("evacuate/b");
+    it.store.first[kOperator] = it.store.log[kOperator].size();
+  });
+  it.RunFor(100);
+  CHECK(allowed("b"));
+  it.loop.Stop();
+}
+
+// Load: the store is away for longer than an evacuation may take.
+TEST(ConfigWatch, StartsStopWhenEvacuationsCannotBeRead) {
+  ConfigFixture it;
+  it.evacuations.SetBound(milliseconds(600));
+  it.loop.Start();
+  it.RunFor(60);
+  CHECK(it.evacuations.MayStartIn(ZoneId("a"), BootClock::now()));
+  it.loop.Post([&] {
+    it.store.fault_mode = fake::MemoryStore::FaultMode::kRejectCalls;
+  });
+  it.RunFor(500);
+  CHECK_FALSE(it.evacuations.MayStartIn(ZoneId("a"), BootClock::now()));
+  it.loop.Post(
+      [&] { it.store.fault_mode = fake::MemoryStore::FaultMode::kNone; });
+  it.RunFor(300);
+  CHECK(it.evacuations.MayStartIn(ZoneId("a"), BootClock::now()));
+  it.loop.Stop();
+}
+
 }  // namespace bw::test
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -242,7 +242,8 @@
       {"timingBounds.revokeMs", "5000"},
       {"timingBounds.graceS", std::to_string(options_.grace_s)},
       {"timingBounds.status_s", "120"},
-      {"timingBounds.farX", "3"}};
+      {"timingBounds.farX", "3"},
+      {"timingBounds.evacuateMs", "3000"}};
   std::ifstream file(BW_SETTINGS_TEMPLATE);
   std::ostringstream read;
   read << file.rdbuf();
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -79,6 +80,10 @@
   size_t CountIdleAdviceInstances() const override { return advice_instances; }
   void OnFenced() override { fenced = true; }
   bool MayAct() const override { return may_act; }
+  bool MayStartIn(const ZoneId& zone, Time) const override {
+    return !evacuated.contains(zone);
+  }
+  void OnStartHeldBack(const ZoneId&, Time) override { ++starts_held_back; }
   bool MayRenew(milliseconds) const override { return may_act; }
   bool IsStoreResponsive() const override { return store_available; }
   Time ReadClock() const override { return clock += clock_step; }
@@ -104,6 +109,8 @@
   mutable Time clock{Duration(0)};
   Duration clock_step{0};  ///< Passes between two readings of the clock.
   bool may_act = true;
+  std::set<ZoneId> evacuated;
+  int starts_held_back = 0;
   bool store_available = true;
   bool accepts_queries = true;
   size_t advice_instances = 1;
