Test: [Net] Crowds of callers beyond the limits, red on the code as it stands

The tests start two instances, lower the budget by limits.unfinished_kb, which nothing reads yet, and play 60 connections of each kind against the front, the readiness check and the metrics of the owner and of the standby.

--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -15,6 +15,8 @@
      "Speed of this instance's processor, in cores."},
     {"instance", "max_fds", SettingType::kReal, "4096", 1, 1LL << 40,
      "File descriptors that this instance may use."},
+    {"instance", "memory_mb", SettingType::kReal, "256", 1, 1LL << 30,
+     "Memory that this instance may use, in MB."},
     {"listen", "front", SettingType::kAddress, nullptr, 0, 0,
      "Listen address for callers."},
     {"listen", "ready", SettingType::kAddress, nullptr, 0, 0,
@@ -50,6 +52,10 @@
     {"bounds", "far_x", SettingType::kReal, "2", 0, 10000,
      "Factor by which tasks run slower far from their data or spread over "
      "several racks."},
+    {"limits", "unfinished_kb", SettingType::kInt, "0", 0, 1LL << 40,
+     "Memory that callers' unfinished requests and unread responses may use, "
+     "in KB, for all listen addresses together; 0: a quarter of "
+     "instance.memory_mb."},
     {"timing", "member_ttl_ms", SettingType::kInt, "1200", 500, 60000,
      "TTL of a membership in the owners' group, in ms. A failed owner is "
      "replaced after this time."},
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -219,6 +219,10 @@
     out.emplace_back("--set");
     out.push_back(it);
   }
+  for (const std::string& it : options_.overrides) {
+    out.emplace_back("--set");
+    out.push_back(it);
+  }
   out.push_back("--settings=" + SettingsOf(n));
   return out;
 }
@@ -231,6 +235,7 @@
       {"limits.cpuShare", "0.25"},
       {"limits.cores", "1"},
       {"limits.maxFds", "4100"},
+      {"limits.memoryMb", "260"},
       {"listen.front", AddressOf(n, 0)},
       {"listen.ready", AddressOf(n, 1)},
       {"portRange.0", std::to_string(PortOf(n) + 2)},
--- a/test/support/entry_fleet.h
+++ b/test/support/entry_fleet.h
@@ -29,6 +29,9 @@
   /// "eN>store" from it to the store and the advice service, and "e>bN" from
   /// instances to backend server N.
   bool proxied = false;
+  /// Further settings of each instance, as "section.key=value"; not with
+  /// `as_deployed`.
+  std::vector<std::string> overrides = {};
 };
 
 /// Runs processes of bwentry with one queue "/p/" on host "h" and the accounts
@@ -65,6 +68,10 @@
   bool IsReady(int n) const;
   /// @return "ip:port" on which instance `n` serves callers.
   std::string FrontOf(int n) const;
+  /// @return "ip:port" of the readiness check of instance `n`.
+  std::string ReadyOf(int n) const { return AddressOf(n, 1); }
+  /// @return "ip:port" of the metrics of instance `n`.
+  std::string MetricsOf(int n) const { return AddressOf(n, 3); }
   /// Waits for an owner. @return The number of its instance, or -1.
   int WaitForOwner() const;
   /// @return The number of an instance that says now that it is the owner, or
--- a/test/support/raw_caller.cc
+++ b/test/support/raw_caller.cc
@@ -84,6 +84,20 @@
   return true;
 }
 
+void RawConnection::SendSome(const std::string& bytes, milliseconds patience) {
+  size_t sent = 0;
+  pollfd it{socket_, POLLOUT, 0};
+  while (sent < bytes.size() &&
+         poll(&it, 1, static_cast<int>(patience.count())) > 0) {
+    const ssize_t n =
+        send(socket_, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+    if (n < 0 && errno != EAGAIN && errno != EINTR) {
+      return;
+    }
+    sent += n > 0 ? static_cast<size_t>(n) : 0;
+  }
+}
+
 std::vector<int> RawConnection::Read(size_t count, Time limit) {
   std::vector<int> out;
   end_ = End::kNone;
--- a/test/support/raw_caller.h
+++ b/test/support/raw_caller.h
@@ -23,6 +23,9 @@
   OpenResult Open(const std::string& address);
   /// @return False if the peer has ended the connection.
   bool Send(const std::string& bytes);
+  /// Sends until the peer does not read for `patience` or has ended the
+  /// connection.
+  void SendSome(const std::string& bytes, milliseconds patience);
   /// Reads until `count` responses are complete, the connection ends or `limit`
   /// passes.
   /// @return The status codes of the complete responses.
