Fix: [Net] Bound what callers' unfinished requests hold

Cause: an unfinished request kept its body, up to 1 MB, for 60 s on each of up to 3,100 connections; each chunk cost a record, each field of a head two strings; nothing bounded the sum. Ruled out: a second parser or rewritten bytes in front of the library, since its callbacks can be replaced.

Metrics and a line a second say what was refused.

Crowd.* counted a process's descriptors twice, which underflowed when one was closed in between; they are read once now, with the same bound.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -46,6 +46,16 @@
       static_cast<size_t>(settings.Real("platform.call_bytes"));
   out.cell.max_record_bytes =
       static_cast<size_t>(settings.Real("platform.record_bytes"));
+  constexpr double kBytesPerMb = 1 << 20;
+  constexpr size_t kBytesPerKb = 1 << 10;
+  constexpr double kUnfinishedShare = 0.25;
+  const auto unfinished_kb =
+      static_cast<size_t>(settings.Int("limits.unfinished_kb"));
+  out.unfinished_bytes =
+      unfinished_kb > 0
+          ? unfinished_kb * kBytesPerKb
+          : static_cast<size_t>(settings.Real("instance.memory_mb") *
+                                kBytesPerMb * kUnfinishedShare);
   out.grace = ms("bounds.grace_s", kMsPerSecond);
   out.membership.name = settings.Text("instance.name");
   out.listen_mesh = at(port);
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -24,7 +24,10 @@
 /// While draining, calls are refused from this long before SIGKILL on.
 constexpr milliseconds kRefuseBeforeKill{1600};
 constexpr milliseconds kIdleConnection{60'000};
+/// Until there is a configuration.
 constexpr size_t kMaxBodyBytes = 1 << 20;
+/// Of requests that need no body.
+constexpr size_t kMaxOtherBodyBytes = 16 << 10;
 /// Longest wait for a listen address that is in use, as by a former process
 /// that is ending.
 constexpr milliseconds kMaxListenWait{5000};
@@ -77,7 +80,9 @@
               &advisor_, &metrics_}),
       relay_server_(http_.get(), &core_),
       front_(options_.front,
-             {&core_, &membership_, &config_, &owner_, &metrics_}) {}
+             {&core_, &membership_, &config_, &owner_, &metrics_}),
+      max_body_bytes_(kMaxBodyBytes),
+      budget_(std::make_shared<net::CallerBudget>(options_.unfinished_bytes)) {}
 
 Entry::~Entry() = default;
 
@@ -95,8 +100,10 @@
   owner_.SetMesh(mesh_.get());
   relay_server_.SetMesh(mesh_.get());
   front_.SetMesh(mesh_.get());
-  config_.Start(
-      [this](const ConfigWatch::ConfigPtr& it) { owner_.OnConfig(it); });
+  config_.Start([this](const ConfigWatch::ConfigPtr& it) {
+    max_body_bytes_ = it->max_body_bytes;
+    owner_.OnConfig(it);
+  });
   membership_.Start({[this](uint64_t generation) { owner_.OnGain(generation); },
                      [this] { owner_.OnLose(); },
                      [this](const std::string& to) {
@@ -111,7 +118,8 @@
   net::HttpServerOptions front;
   front.listen = options_.listen_front;
   front.read_timeout = kIdleConnection;
-  front.max_body_bytes = kMaxBodyBytes;
+  front.max_body_bytes_now = [this] { return max_body_bytes_.load(); };
+  front.budget = budget_;
   front_server_ = Listen(
       front, [this](const net::HttpRequest& request, net::Responder respond) {
         front_.Serve(request, std::move(respond));
@@ -119,6 +127,8 @@
   net::HttpServerOptions ready;
   ready.listen = options_.listen_ready;
   ready.read_timeout = kIdleConnection;
+  ready.max_body_bytes = kMaxOtherBodyBytes;
+  ready.budget = budget_;
   ready_server_ = Listen(ready, [this](const net::HttpRequest& request,
                                        const net::Responder& respond) {
     respond(ReadyPage(request));
@@ -126,6 +136,8 @@
   if (!options_.listen_metrics.empty()) {
     net::HttpServerOptions metrics;
     metrics.listen = options_.listen_metrics;
+    metrics.max_body_bytes = kMaxOtherBodyBytes;
+    metrics.budget = budget_;
     metrics_server_ = Listen(metrics, [this](const net::HttpRequest&,
                                              const net::Responder& respond) {
       net::HttpResponse out;
@@ -215,6 +227,7 @@
   metrics_.Set("bw_renewal_age_seconds", "",
                membership_.RenewalAgeMs(now) / 1000.0);
   metrics_.Set("bw_open_calls", "", static_cast<double>(front_.OpenCalls()));
+  ReportRefusals();
   const auto cpu_us = ReadThreadCpu();
   for (const auto& it : cpu_us) {
     constexpr double kMicrosPerSecond = 1e6;
@@ -254,6 +267,29 @@
   }
 }
 
+/// Called once per kMetricsEvery, which bounds the log lines.
+void Entry::ReportRefusals() {
+  const auto counts = budget_->Count();
+  const auto set = [this](const char* why, uint64_t count) {
+    metrics_.Set("bw_callers_refused", std::string("why=\"") + why + "\"",
+                 static_cast<double>(count));
+  };
+  set("too_large", counts.too_large);
+  set("closed", counts.closed);
+  set("no_room", counts.refused);
+  metrics_.Set("bw_unfinished_bytes", "", static_cast<double>(budget_->Used()));
+  const uint64_t all = counts.too_large + counts.closed + counts.refused;
+  if (all != logged_refusals_) {
+    logged_refusals_ = all;
+    LogEvent(Part::kGate, "callers_refused",
+             {{"too_large", counts.too_large},
+              {"closed", counts.closed},
+              {"no_room", counts.refused},
+              {"used_bytes", budget_->Used()},
+              {"limit_bytes", options_.unfinished_bytes}});
+  }
+}
+
 void Entry::OnMeshRequest(const proto::Envelope& request,
                           net::Mesh::Reply reply) {
   if (request.has_cell_call()) {
--- a/src/entry_base.h
+++ b/src/entry_base.h
@@ -29,9 +29,10 @@
   std::string listen_metrics;  ///< "ip:port" of the metrics; empty: none.
   std::string store;           ///< "ip:port" of the platform's store.
   std::string advice;  ///< "ip:port" of the advice service; may be empty.
-  long backend_connections = 1024;  ///< Kept open to backend servers.
-  size_t max_call_bytes = 1 << 20;  ///< Most record bytes in one store call.
-  milliseconds grace{6000};         ///< Between SIGTERM and SIGKILL.
+  long backend_connections = 1024;     ///< Kept open to backend servers.
+  size_t max_call_bytes = 1 << 20;     ///< Most record bytes in one store call.
+  size_t unfinished_bytes = 64 << 20;  ///< See net::CallerBudget.
+  milliseconds grace{6000};            ///< Between SIGTERM and SIGKILL.
   MembershipOptions membership;
   CellOptions cell;
   FrontOptions front;
@@ -63,6 +64,7 @@
   void HandleAdviceCall(const proto::AdviceCall& call, net::Mesh::Reply reply);
   net::HttpResponse ReadyPage(const net::HttpRequest& request) const;
   void UpdateMetrics(Time now);
+  void ReportRefusals();
 
   const EntryOptions options_;
   Metrics metrics_;
@@ -80,6 +82,10 @@
   RelayServer relay_server_;
   Front front_;
   std::unique_ptr<net::Mesh> mesh_;
+  /// Of the newest configuration.
+  std::atomic<size_t> max_body_bytes_;
+  const std::shared_ptr<net::CallerBudget> budget_;
+  uint64_t logged_refusals_ = 0;
   std::unique_ptr<net::HttpServer> front_server_;
   std::unique_ptr<net::HttpServer> ready_server_;
   std::unique_ptr<net::HttpServer> metrics_server_;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -2,16 +2,23 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 
+#include "caller_budget.h"
 #include "http_type.h"
 
 namespace bw::net {
 
 struct HttpServerOptions {
-  std::string listen;               ///< "ip:port"; port 0 is not allowed.
-  size_t max_body_bytes = 1 << 20;  ///< A larger body closes the connection.
+  std::string listen;  ///< "ip:port"; port 0 is not allowed.
+  /// A larger body is refused while it is being read.
+  size_t max_body_bytes = 1 << 20;
+  /// Replaces `max_body_bytes` if set. Called on the server's thread.
+  std::function<size_t()> max_body_bytes_now = {};
+  /// Memory that callers' requests and responses may use; may be empty.
+  std::shared_ptr<CallerBudget> budget = {};
   milliseconds handle_timeout{120'000};  ///< Until the handler responds.
   milliseconds read_timeout{10'000};  ///< Per request read or response write.
 };
--- a/test/crowd_test.cc
+++ b/test/crowd_test.cc
@@ -170,9 +170,10 @@
     crowd.back()->Open(address);
     crowd.back()->SendSome(kind(caller, path), kPatience);
   }
-  const size_t more_fds = OpenFds(pid) - std::min(OpenFds(pid), fds);
-  CHECK_TEXT(more_fds <= kCrowd + kMostMoreFds,
-             fmt::format("{} more descriptors", more_fds).c_str());
+  const size_t crowd_fds = OpenFds(pid);
+  CHECK_TEXT(
+      crowd_fds <= fds + kCrowd + kMostMoreFds,
+      fmt::format("{} descriptors before, {} now", fds, crowd_fds).c_str());
   CHECK_TEXT(IsAnswered(fleet, n, address), address.c_str());
   crowd.clear();
   CHECK_TEXT(Eventually([&] { return OpenFds(pid) <= fds + kMostMoreFds; }),
