Feature: [RunTime] Learns from ended and running runs how long others will run

Callers' estimates are off by up to 90% on some queues, and nothing but a queue's mean deviation was learned, within the estimate of servers' speeds. SpeedMeter compares runs with it in place of statistics of its own, and gains RelativeSpeed over minutes. run_ended logs what was stated and expected. Decisions use it only with cell.learn_run_times = 1; the default is 0.

test/speed_test.cc: the calls follow the meter's new parameters; loads and bounds are the same.

--- a/src/bin/bwentry.cc
+++ b/src/bin/bwentry.cc
@@ -69,6 +69,7 @@
   out.cell.lease =
       out.cell.max_lease * settings.Int("timing.lease_percent") / kPercent;
   out.cell.ended_job_retention = ms("bounds.status_s", kMsPerSecond);
+  out.cell.learn_run_times = settings.Int("cell.learn_run_times") != 0;
   out.cell.far_factor = std::max(1.0, settings.Real("bounds.far_x"));
   out.front.revoke = ms("bounds.revoke_ms");
   return out;
@@ -76,8 +77,8 @@
 
 /// @return True if a change of the setting applies without a restart.
 bool IsReloadable(const std::string& name) {
-  return name.starts_with("bounds.") || name == "log.levels" ||
-         name == "timing.lease_percent";
+  return name.starts_with("bounds.") || name.starts_with("cell.") ||
+         name == "log.levels" || name == "timing.lease_percent";
 }
 
 /// Reads the settings file again and applies the reloadable settings. A file
--- a/src/cell.cc
+++ b/src/cell.cc
@@ -189,6 +189,9 @@
     done(Refuse(CellStatus::kMalformed, "job cannot be read"));
     return;
   }
+  for (auto& it : job.spec.steps) {
+    it.stated_ms = it.estimate_ms;
+  }
   job.id = id;
   job.team = team;
   job.queue = queue;
@@ -197,6 +200,7 @@
   job.accepted_ms = wall_ms_;
   job.accepted = now;
   job.arrival = ++last_arrival_;
+  UpdateEstimates(&job, now);
   job.objective = ObjectiveOf(*policy, LongestChainMs(job.spec, {}));
   if (const char* reason = OverloadReason(job, now); reason != nullptr) {
     done(RefuseOverload(id, reason));
@@ -372,6 +376,7 @@
   if (found == job->occurrences.end() || job->state != JobState::kActive) {
     return;
   }
+  UpdateEstimates(job, now);
   UpdateRemaining(*job, &found->second);
   auto& steps = found->second.steps;
   for (uint32_t n = 0; n < steps.size(); ++n) {
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -20,6 +20,7 @@
 #include "platform/advice.h"
 #include "platform/backend.h"
 #include "ready_steps_base.h"
+#include "run_time_base.h"
 #include "speed_base.h"
 #include "ticket_margin_base.h"
 
@@ -43,6 +44,7 @@
   double far_factor = 3;  ///< Slowdown of a task far from its data.
   uint64_t wall_ms = 0;   ///< Wall clock when the cell is created.
   size_t max_record_bytes = 256 << 10;  ///< Largest record of the store.
+  bool learn_run_times = false;         ///< Decides by learned run times.
 };
 
 /// Side effects of the cell, carried out by its owner. Responses are delivered
@@ -222,7 +224,10 @@
     bool stop_in_flight = false;
     bool repeated = false;  ///< Its start order was sent a second time.
     uint64_t serial = 0;    ///< Distinguishes runs that reuse a number.
-    uint64_t estimate_ms = 0;
+    uint64_t stated_ms = 0;
+    uint64_t estimate_ms = 0;  ///< As used for decisions.
+    RunExpectation expected;   ///< On a server of usual speed.
+    RunProgress progress;      ///< Unused in gangs.
     Time idle_since = kNever;  ///< No processor time used since; kNever: busy.
     std::string checkpoint;
   };
@@ -300,6 +305,7 @@
     Time examined_at = kNever;  ///< Last pass that tried to place it.
     std::vector<uint64_t> failed_runs;  ///< Of all members of a gang.
     Time started = kNever;
+    RunProgress progress;  ///< Of the present run of a gang.
     Time waiting_since = kNever;
     const char* wait_reason = "";  ///< Why the last pass did not place it.
     Time not_before = kNever;      ///< Earliest next placing attempt.
@@ -383,8 +389,23 @@
                     const ListedRun& row,
                     LiveRun* live,
                     Time now);
-  const StepSpec* SpecIfMeasurable(const RunRef& run,
-                                   const LiveRun& live) const;
+
+  // cell_run_time.cc: learned run times.
+  static RunClass RunClassOf(const Job& job, const StepSpec& spec);
+  void UpdateEstimates(Job* job, Time now);
+  void ExpectRun(const Job& job,
+                 const StepSpec& spec,
+                 const BackendId& backend,
+                 LiveRun* live,
+                 Time now) const;
+  void LearnFromEnd(Server* server,
+                    const ListedEnd& end,
+                    const LiveRun& live,
+                    Time now);
+  void LearnFromRunning(Server* server,
+                        const RunRef& run,
+                        LiveRun* live,
+                        Time now);
   void MarkStarted(const JobId& id);
   void EraseRun(Server* server, const RunRef& run);
   void OnRunEnd(Server* server, const ListedEnd& end, Time now);
@@ -564,7 +585,8 @@
   std::map<QueueId, double>
       admitted_share_;  ///< Share of servers that the advice service admits.
   AccountRateLimiter rate_limiter_;
-  SpeedMeter speed_meter_;
+  RunTimes run_times_;
+  SpeedMeter speed_meter_{&run_times_};
   PlacingDelay placing_delay_;
   /// Time in which new jobs were expected to be late.
   struct LateSpan {
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -348,11 +348,12 @@
   task.run = run;
   step->live += 1;
   step->started = pass->now;
+  step->progress = {};
   LiveRun live;
   live.need = spec.need;
   live.room = OccupiedResources(spec);
   live.team = job->team;
-  live.estimate_ms = spec.estimate_ms;
+  ExpectRun(*job, spec, server->entry.id, &live, pass->now);
   live.serial = ++last_serial_;
   live.placed_at = pass->now;
   server->runs[{ref, run}] = live;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -296,6 +296,9 @@
     LogEvent(Part::kPlacer, "record_unreadable", {{"job", id.value}});
     return;
   }
+  for (auto& it : job.spec.steps) {
+    it.stated_ms = it.estimate_ms;
+  }
   job.id = id;
   job.team = TeamId(record.team());
   job.queue = QueueId(record.queue());
--- a/src/cell_room.cc
+++ b/src/cell_room.cc
@@ -18,13 +18,12 @@
 /// How long a step waits for a server of usual speed before it uses one that is
 /// several times slower; about the run time of most tasks.
 constexpr milliseconds kMaxWaitForFastServer{1000};
-/// Safety factor on estimates where a task must not delay a gang.
+/// Safety factor on stated estimates where a task must not delay a gang.
 constexpr double kOverrunFactor = 2;
-/// Assumed run time of a task without an estimate.
-constexpr uint64_t kDefaultEstimateMs = 3000;
 
 uint64_t EstimateOrDefault(uint64_t estimate_ms) {
-  return estimate_ms > 0 ? estimate_ms : kDefaultEstimateMs;
+  return estimate_ms > 0 ? estimate_ms
+                         : static_cast<uint64_t>(kDefaultEstimateMs);
 }
 
 /// @return Upper estimate of the run time of a task of the step.
@@ -32,6 +31,9 @@
   if (spec.perpetual) {
     return std::numeric_limits<int64_t>::max();
   }
+  if (spec.upper_ms > 0) {
+    return SignedMs(spec.upper_ms);
+  }
   return static_cast<int64_t>(
       kOverrunFactor *
       static_cast<double>(EstimateOrDefault(spec.estimate_ms)));
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -1,6 +1,7 @@
 // The cell's runs: how the end, loss or failure of a run changes its task.
 
 #include <algorithm>
+#include <cmath>
 
 #include "cell_base.h"
 #include "event_log_func.h"
@@ -53,11 +54,10 @@
   const auto live = server->runs.find(end.run);
   const uint32_t ran_ms =
       live == server->runs.end() ? 0 : AgeMs(live->second.start_sent_at, now);
-  if (end.end == RunEnd::kDone && live != server->runs.end() && ran_ms > 0) {
-    if (const StepSpec* spec = SpecIfMeasurable(end.run, live->second)) {
-      speed_meter_.OnDone(jobs_.at(end.run.task.job).queue, server->entry.id,
-                          static_cast<double>(spec->estimate_ms), ran_ms, now);
-    }
+  LiveRun ended;
+  if (live != server->runs.end()) {
+    LearnFromEnd(server, end, live->second, now);
+    ended = live->second;
   }
   EraseRun(server, end.run);
   Job* job = nullptr;
@@ -68,7 +68,13 @@
             {"run", end.run.number},
             {"backend", server->entry.id.value},
             {"how", static_cast<int>(end.end)},
-            {"ran_ms", ran_ms}});
+            {"ran_ms", ran_ms},
+            {"from_start", ended.from_scratch},
+            {"stated_ms", ended.stated_ms},
+            {"estimate_ms", ended.estimate_ms},
+            {"expected_ms", std::lround(ended.expected.median_ms)},
+            {"p90_ms", std::lround(ended.expected.p90_ms)},
+            {"confidence", ended.expected.confidence}});
   if (end.end == RunEnd::kDone) {
     server->strikes = 0;
   }
@@ -107,22 +113,6 @@
   }
 }
 
-/// @return The spec of the run's step if its run time reflects the server's
-/// speed, else nullptr. Gang members wait for each other, and data may be on
-/// another rack.
-const StepSpec* Cell::SpecIfMeasurable(const RunRef& run,
-                                       const LiveRun& live) const {
-  const auto job = jobs_.find(run.task.job);
-  if (!live.from_scratch || live.start_sent_at == kNever ||
-      job == jobs_.end()) {
-    return nullptr;
-  }
-  const StepSpec& spec = job->second.spec.steps[run.task.step];
-  const bool alone = !spec.gang && !spec.perpetual && !spec.best_effort &&
-                     !spec.same_rack && spec.rack.empty();
-  return alone && spec.estimate_ms > 0 ? &spec : nullptr;
-}
-
 /// Handles a run that certainly does not and will not run, although no end was
 /// reported.
 void Cell::OnRunGone(Server* server,
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -415,12 +415,7 @@
       live->start_confirmed_at = now;
     }
     CheckIdleRun(server, row, live, now);
-    const StepSpec* spec = SpecIfMeasurable(row.run, *live);
-    if (spec != nullptr && live->phase == RunPhase::kRunning) {
-      speed_meter_.OnRunning(jobs_.at(row.run.task.job).queue, server->entry.id,
-                             static_cast<double>(spec->estimate_ms),
-                             1 + AgeMs(live->start_sent_at, now), now);
-    }
+    LearnFromRunning(server, row.run, live, now);
   }
 }
 
@@ -479,7 +474,7 @@
     const StepSpec& spec = job->spec.steps[row.run.task.step];
     live.need = spec.need;
     live.team = job->team;
-    live.estimate_ms = spec.estimate_ms;
+    ExpectRun(*job, spec, server->entry.id, &live, now);
     live.room = OccupiedResources(spec);
     server->used = server->used + live.room;
     usage_[live.team] = usage_[live.team] + live.need;
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -84,7 +84,10 @@
 struct StepSpec {
   uint32_t count = 1;  ///< Number of tasks.
   Resources need;      ///< Resource request of each task.
+  /// Run time of a task, or of the step if `gang`: as stated or as learned.
   uint64_t estimate_ms = 0;
+  uint64_t stated_ms = 0;            ///< As stated; 0: nothing is stated.
+  uint64_t upper_ms = 0;             ///< 90% quantile, if learned; 0: unknown.
   std::vector<uint32_t> depends_on;  ///< Indices of the steps it depends on.
   bool gang = false;         ///< Gang-scheduled: all tasks run at once or none.
   bool same_rack = false;    ///< Far slower if spread over several racks.
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -50,6 +50,9 @@
     {"bounds", "far_x", SettingType::kReal, "2", 0, 10000,
      "Factor by which tasks run slower far from their data or spread over "
      "several racks."},
+    {"cell", "learn_run_times", SettingType::kInt, "0", 0, 1,
+     "1: the run times that are expected from ended runs replace the stated "
+     "estimates in decisions; 0: they are only logged."},
     {"timing", "member_ttl_ms", SettingType::kInt, "1200", 500, 60000,
      "TTL of a membership in the owners' group, in ms. A failed owner is "
      "replaced after this time."},
--- a/test/speed_test.cc
+++ b/test/speed_test.cc
@@ -18,6 +18,12 @@
   return BackendId("s" + std::to_string(n));
 }
 
+RunClass ClassOf(const QueueId& queue) {
+  RunClass out;
+  out.queue = queue;
+  return out;
+}
+
 /// Simulates the runs of two queues on 12 servers. Each server has a factor on
 /// run times.
 class Load {
@@ -34,14 +40,20 @@
     for (int second = 0; second < seconds; ++second) {
       now_ += milliseconds(1000);
       for (int n = 0; n < kServers; ++n) {
-        meter_.OnDone(kAccurate, ServerNo(n), 2000,
+        meter_.OnDone(ClassOf(kAccurate), ServerNo(n), 2000,
                       2000 * factors_[n] * std::exp(good(random_)), now_);
-        meter_.OnDone(kInaccurate, ServerNo(n), 600,
+        meter_.OnDone(ClassOf(kInaccurate), ServerNo(n), 600,
                       600 * factors_[n] * std::exp(rough(random_)), now_);
       }
     }
   }
 
+  /// Reports that a run of kAccurate has run for `ran_ms`.
+  void StillRuns(const BackendId& server, double ran_ms) {
+    meter_.OnRunning(server, run_times_.Expect(ClassOf(kAccurate), 2000, now_),
+                     ran_ms, now_);
+  }
+
   int CountBad() const {
     int out = 0;
     for (int n = 0; n < kServers; ++n) {
@@ -53,7 +65,8 @@
   static constexpr int kServers = 12;
 
  private:
-  SpeedMeter meter_;
+  RunTimes run_times_;
+  SpeedMeter meter_{&run_times_};
   Time now_ = kStart;
   std::mt19937_64 random_{7};
   double factors_[kServers] = {1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1};
@@ -64,7 +77,8 @@
 TEST_GROUP(Speed){};
 
 TEST(Speed, UnknownServersAreUsual) {
-  const SpeedMeter meter;
+  RunTimes run_times;
+  const SpeedMeter meter(&run_times);
   CHECK(!meter.IsSlow(ServerNo(0), kStart));
 }
 
@@ -86,9 +100,9 @@
   Load load;
   load.Pass(20);
   const BackendId slow = ServerNo(0);
-  load.Meter().OnRunning(kAccurate, slow, 2000, 2500, load.Now());
+  load.StillRuns(slow, 2500);
   CHECK(!load.Meter().IsSlow(slow, load.Now()));
-  load.Meter().OnRunning(kAccurate, slow, 2000, 6000, load.Now());
+  load.StillRuns(slow, 6000);
   CHECK(load.Meter().IsSlow(slow, load.Now()));
   load.SetFactor(0, 7);
   load.Pass(2);
