--- a/test/run_time_test.cc
+++ b/test/run_time_test.cc
@@ -7,6 +7,7 @@
 
 #include "../src/run_time_base.h"
 #include "../src/speed_base.h"
+#include "support/cell_harness.h"
 
 namespace bw::test {
 namespace {
@@ -65,10 +66,58 @@
   }
 }
 
+const char* const kJob = "00000000000000ff";
+
+/// Runs `count` jobs of one step whose estimate is a tenth of its run time.
+void RunUnderestimatedJobs(CellHarness* harness, int count, bool gang) {
+  for (int n = 0; n < count; ++n) {
+    const std::string job = "0000000000000" + std::to_string(100 + n);
+    harness->Submit(job,
+                    CellHarness::Tasks(2, 1000, gang ? R"(,"gang":true)" : ""));
+    constexpr int kRanMs = 10'000;
+    harness->Advance(kRanMs);
+    for (uint32_t index = 0; index < 2; ++index) {
+      const auto run = harness->Find({JobId(job), 0, 0, index});
+      if (run) {
+        harness->backends.at(run->first).End(run->second, RunEnd::kDone);
+      }
+    }
+    harness->Advance(100);
+  }
+}
+
+/// @return True if a task that states 1 s moves from a backend server that may
+/// leave after 3 s.
+bool MovesFromLeavingServer(CellHarness* harness, bool gang) {
+  harness->Submit(kJob,
+                  CellHarness::Tasks(2, 1000, gang ? R"(,"gang":true)" : ""));
+  const auto run = harness->Find({JobId(kJob), 0, 0, 0});
+  auto leaving = harness->backends.at(run->first).entry;
+  leaving.draining = true;
+  leaving.remaining_ms = 3000;
+  harness->cell->SetBackend(leaving, harness->now);
+  harness->Advance(600);
+  const auto after = harness->Find({JobId(kJob), 0, 0, 0});
+  return after && after->first != run->first;
+}
+
 }  // namespace
 
 TEST_GROUP(RunTime){};
 
+// Load: tasks run 10 times as long as stated, and servers leave.
+TEST(RunTime, CellMovesWorkThatIsLearnedToOutlastALeavingServer) {
+  for (const bool gang : {false, true}) {
+    for (const bool learns : {false, true}) {
+      CellHarness it(2);
+      it.learn_run_times = learns;
+      it.StartOwner(2);
+      RunUnderestimatedJobs(&it, 16, gang);
+      CHECK_EQUAL(learns, MovesFromLeavingServer(&it, gang));
+    }
+  }
+}
+
 TEST(RunTime, NothingSeenTheStatedEstimateIsExpectedWithoutConfidence) {
   const RunTimes times;
   const RunExpectation got = times.Expect(ClassOf("q"), 2000, kStart);
--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -156,6 +156,7 @@
     options.fencing_token = token;
     options.wall_ms = wall_ms;
     options.max_record_bytes = max_record_bytes;
+    options.learn_run_times = learn_run_times;
     cell = std::make_unique<Cell>(options, &port);
     cell->SetConfig(config);
     for (const auto& it : port.stored) {
@@ -296,7 +297,8 @@
   Time now{std::chrono::hours(1)};
   uint64_t wall_ms = 1'700'000'000'000;
   size_t max_record_bytes = 256 << 10;
-  bool store_enabled = true;  ///< False: the store accepts nothing.
+  bool learn_run_times = false;  ///< Of owners that start later.
+  bool store_enabled = true;     ///< False: the store accepts nothing.
   std::vector<FakeCellPort::SentStart> start_log;
   /// Starts sent to unreachable servers.
   std::vector<FakeCellPort::SentStart> unanswered_starts;
