--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -354,6 +354,7 @@
   live.room = OccupiedResources(spec);
   live.team = job->team;
   ExpectRun(*job, spec, server->entry.id, &live, pass->now);
+  live.progress.weight = 1.0 / spec.count;
   live.serial = ++last_serial_;
   live.placed_at = pass->now;
   server->runs[{ref, run}] = live;
--- a/src/run_time.cc
+++ b/src/run_time.cc
@@ -66,13 +66,13 @@
   Time faded_at = kNever;
   std::list<Nodes::iterator>::iterator use;
 
-  void Enter(int from, int to) {
+  void Enter(int from, int to, double weight) {
     for (int n = from; n < to; ++n) {
-      entered.at(n) += 1;
+      entered.at(n) += static_cast<float>(weight);
     }
   }
-  void Fade(Time now) {
-    const double factor = (1 - 1 / kMemoryEnds) * FadeSince(now);
+  void Fade(double weight, Time now) {
+    const double factor = (1 - weight / kMemoryEnds) * FadeSince(now);
     faded_at = now;
     entered *= factor;
     ended *= factor;
@@ -142,15 +142,15 @@
   // so it is evicted after them.
   for (size_t level = kLevels; level-- > 0;) {
     Node* node = Touch(KeyOf(run_class, stated_ms, level));
-    node->Fade(now);
-    node->Enter(progress.bins, bin + 1);
-    node->ended.at(bin) += 1;
-    node->ends += 1;
+    node->Fade(progress.weight, now);
+    node->Enter(progress.bins, bin + 1, progress.weight);
+    node->ended.at(bin) += static_cast<float>(progress.weight);
+    node->ends += progress.weight;
     if (level == 0) {
       if (!node->run_ms) {
         node->run_ms = MakeHistogram(kRunBins, 0, kMaxRunOctave);
       }
-      (*node->run_ms)(ran_ms);
+      (*node->run_ms)(ran_ms, bh::weight(progress.weight));
     }
   }
 }
@@ -180,7 +180,7 @@
     if (node->faded_at == kNever) {
       node->faded_at = now;
     }
-    node->Enter(progress->bins, bin);
+    node->Enter(progress->bins, bin, progress->weight);
   }
   progress->bins = bin;
 }
@@ -276,9 +276,9 @@
 RunTimes::Distribution RunTimes::DistributionOf(const RunClass& run_class,
                                                 double stated_ms,
                                                 Time now) const {
-  static const Hazards kStated = StatedHazards();
+  static const Hazards unlearned = StatedHazards();
   Distribution out;
-  out.hazards = kStated;
+  out.hazards = unlearned;
   for (size_t level = 0; level < kLevels; ++level) {
     const auto it = nodes_.find(KeyOf(run_class, stated_ms, level));
     if (it == nodes_.end()) {
--- a/src/run_time_type.h
+++ b/src/run_time_type.h
@@ -31,9 +31,12 @@
   auto operator<=>(const RunExpectation&) const = default;
 };
 
-/// How far a run that has not ended was counted.
+/// How far a run that has not ended was counted, and how much it counts.
 struct RunProgress {
   int bins = 0;  ///< Bins of the distribution that it has passed.
+  /// Tasks of one step share their estimate's error, so all of them together
+  /// count as one run.
+  double weight = 1;
 };
 
 }  // namespace bw
--- a/test/run_time_test.cc
+++ b/test/run_time_test.cc
@@ -279,6 +279,22 @@
   CHECK(small.p90_ms / small.median_ms < 1.75);
 }
 
+// Load: steps of 25 tasks whose estimate is off by the same factor; each step's
+// differs.
+TEST(RunTime, TasksOfOneStepCountAsOneRun) {
+  Runs runs;
+  for (int step = 0; step < 200; ++step) {
+    const double factor = runs.Draw(1, 1);
+    for (int n = 0; n < 25; ++n) {
+      runs.Times().OnEnd(ClassOf("q"), 1000, factor * runs.Draw(1000, 0.1),
+                         runs.Step(), {0, 1.0 / 25});
+    }
+  }
+  const RunExpectation got = runs.Expect(ClassOf("q"), 1000);
+  CheckWithin(700, 1500, got.median_ms);
+  CheckWithin(2500, 5500, got.p90_ms);
+}
+
 // Load: gangs, whose run time is that of their slowest member.
 TEST(RunTime, WideGangsAreExpectedToTakeLonger) {
   Runs runs;
