--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -349,11 +349,13 @@
   task.run = run;
   step->live += 1;
   step->started = pass->now;
+  step->progress = {};
   LiveRun live;
   live.need = spec.need;
   live.room = OccupiedResources(spec);
   live.team = job->team;
-  live.estimate_ms = spec.estimate_ms;
+  ExpectRun(*job, spec, server->entry.id, &live, pass->now);
+  live.progress.weight = 1.0 / spec.count;
   live.serial = ++last_serial_;
   live.placed_at = pass->now;
   server->runs[{ref, run}] = live;
--- a/src/table/entry_settings.h
+++ b/src/table/entry_settings.h
@@ -61,6 +61,9 @@
      "Memory that callers' unfinished requests and unread responses may use, "
      "in KB, for all listen addresses together; 0: a quarter of "
      "instance.memory_mb."},
+    {"cell", "learn_run_times", SettingType::kInt, "0", 0, 1,
+     "1: the run times that are expected from ended runs replace the stated "
+     "estimates in decisions; 0: they are only logged."},
     {"timing", "member_ttl_ms", SettingType::kInt, "1200", 500, 60000,
      "TTL of a membership in the owners' group, in ms. A failed owner is "
      "replaced after this time."},
