Fix: [Placer] Gang members that wait for the slowest are not stopped

Cause: CheckIdleRun took an idle gang member for one that stands still unless its run time lay between 0.5 and 4 times the stated estimate.

Each stop has one run_stop line with its reason.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -505,7 +505,7 @@
     auto run = it.second.runs.lower_bound({first, 0});
     for (; run != it.second.runs.end() && run->first.task.job == job->id;
          ++run) {
-      SendStop(&it.second, run->first, &run->second, now);
+      SendStop(&it.second, run->first, &run->second, "job ended", now);
     }
   }
 }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -21,18 +21,11 @@
 #include "platform/backend.h"
 #include "ready_steps_base.h"
 #include "speed_base.h"
+#include "stall_func.h"
 #include "ticket_margin_base.h"
 
 namespace bw {
 
-/// Externally visible state of a job. The values are persisted: only append.
-enum class JobState : uint32_t {
-  kActive = 0,
-  kCompleted = 1,
-  kFailed = 2,
-  kCancelled = 3,
-};
-
 /// Limits and durations of a cell, from the settings.
 struct CellOptions {
   uint64_t fencing_token = 0;  ///< Higher than any former owner's.
@@ -223,7 +216,7 @@
     bool repeated = false;  ///< Its start order was sent a second time.
     uint64_t serial = 0;    ///< Distinguishes runs that reuse a number.
     uint64_t estimate_ms = 0;
-    Time idle_since = kNever;  ///< No processor time used since; kNever: busy.
+    RunActivity activity;
     std::string checkpoint;
   };
   /// A start order that is sent once the record of its placement is stored.
@@ -303,6 +296,7 @@
     Time waiting_since = kNever;
     const char* wait_reason = "";  ///< Why the last pass did not place it.
     Time not_before = kNever;      ///< Earliest next placing attempt.
+    Time next_stall_check = kNever;
     AdviceState advice;
   };
   struct Occurrence {
@@ -383,6 +377,8 @@
                     const ListedRun& row,
                     LiveRun* live,
                     Time now);
+  void CheckIdleGang(const TaskRef& member, Step* step, Time now);
+  void StopStalled(Server* server, const RunRef& run, LiveRun* live, Time now);
   const StepSpec* SpecIfMeasurable(const RunRef& run,
                                    const LiveRun& live) const;
   void MarkStarted(const JobId& id);
@@ -426,7 +422,11 @@
                        const RunRef& run,
                        OrderResult result,
                        Time now);
-  void SendStop(Server* server, const RunRef& run, LiveRun* live, Time now);
+  void SendStop(Server* server,
+                const RunRef& run,
+                LiveRun* live,
+                const char* why,
+                Time now);
 
   // cell_place.cc: placing.
   struct Pass;
@@ -601,7 +601,4 @@
   Time next_wait_log_ = kNever;
 };
 
-/// @return The name of a state as callers know it.
-const char* StateName(JobState state);
-
 }  // namespace bw
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -117,6 +117,7 @@
 void Cell::SendStop(Server* server,
                     const RunRef& run,
                     LiveRun* live,
+                    const char* why,
                     Time now) {
   if (live->phase != RunPhase::kUnconfirmed) {
     live->phase = RunPhase::kStopping;
@@ -124,6 +125,14 @@
   if (live->stop_in_flight || live->start_sent_at == kNever) {
     return;  // A start that was not sent yet is dropped in SendStart.
   }
+  if (live->stop_sent_at == kNever) {
+    LogEvent(Part::kPlacer, "run_stop",
+             {{"task", platform::TaskName(run.task)},
+              {"run", run.number},
+              {"backend", server->entry.id.value},
+              {"why", why},
+              {"ran_ms", AgeMs(live->start_sent_at, now)}});
+  }
   live->stop_in_flight = true;
   live->stop_sent_at = now;
   port_->Stop(server->entry, run);
@@ -163,7 +172,7 @@
             {"after_ms", AgeMs(sent, now)}});
   live->phase = RunPhase::kUnconfirmed;
   server->suspect_until = now + kSuspectDuration;
-  SendStop(server, run, live, now);
+  SendStop(server, run, live, "start unanswered", now);
   Job* job = nullptr;
   Step* step = nullptr;
   if (FindTask(run.task, &job, &step) != nullptr &&
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -165,7 +165,8 @@
       if (!spec.gang && server != servers_.end()) {
         auto live = server->second.runs.find({other, task.run});
         if (live != server->second.runs.end()) {
-          SendStop(&server->second, live->first, &live->second, now);
+          SendStop(&server->second, live->first, &live->second, "copy done",
+                   now);
         }
       }
     }
@@ -313,7 +314,7 @@
     auto live = server->second.runs.find({ref, task.run});
     if (live != server->second.runs.end() &&
         live->second.phase != RunPhase::kStarting) {
-      SendStop(&server->second, live->first, &live->second, now);
+      SendStop(&server->second, live->first, &live->second, "gang broken", now);
     } else if (live != server->second.runs.end()) {
       live->second.phase = RunPhase::kStopping;
     }
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -26,13 +26,6 @@
 /// restarted backend server numbers its ends anew and would drop others. No
 /// process restarts faster.
 constexpr milliseconds kMaxReportAgeForAck{1500};
-/// A running task that uses no processor time for this long counts as stuck.
-constexpr milliseconds kIdleTimeout{1'500};
-/// Range of run times, as factors of the estimate, in which an idle gang member
-/// may have finished its own work and wait for the others.
-constexpr double kGangIdlePart = 0.5;
-constexpr double kGangIdleFactor = 4;
-
 /// A run without a checkpoint is evacuated from a draining server only if it
 /// would end this much later than the earliest exit, as servers often exit
 /// later than that.
@@ -272,7 +265,7 @@
                           live.phase == RunPhase::kUnconfirmed;
     if (stopping && !live.stop_in_flight && live.stop_confirmed_at == kNever &&
         (live.stop_sent_at == kNever || now - live.stop_sent_at > kStopRetry)) {
-      SendStop(server, it.first, &live, now);
+      SendStop(server, it.first, &live, "stop pending", now);
     }
   }
   if (server->entry.draining && server->listed) {
@@ -495,7 +488,7 @@
             {"run", row.run.number},
             {"backend", server->entry.id.value}});
   if (!wanted) {
-    SendStop(server, row.run, &added, now);
+    SendStop(server, row.run, &added, "unwanted", now);
     return;
   }
   ClearMaybeRunning(*job, row.run.task, task);
@@ -504,43 +497,6 @@
   step->started = now;
 }
 
-void Cell::CheckIdleRun(Server* server,
-                        const ListedRun& row,
-                        LiveRun* live,
-                        Time now) {
-  Job* job = nullptr;
-  Step* step = nullptr;
-  if (row.load_metric > 0 || row.percent == 0 ||
-      live->phase != RunPhase::kRunning ||
-      FindTask(row.run.task, &job, &step) == nullptr) {
-    live->idle_since = kNever;
-    return;
-  }
-  const StepSpec& spec = job->spec.steps[row.run.task.step];
-  const double ran_ms = AgeMs(live->start_confirmed_at, now);
-  // It may have finished its own work and wait for the other gang members.
-  const bool may_be_done =
-      spec.gang &&
-      ran_ms > kGangIdlePart * static_cast<double>(spec.estimate_ms) &&
-      ran_ms < kGangIdleFactor * static_cast<double>(spec.estimate_ms);
-  if (spec.target_ms > 0 || spec.best_effort || may_be_done) {
-    live->idle_since = kNever;
-    return;
-  }
-  if (live->idle_since == kNever) {
-    live->idle_since = now;
-  } else if (now - live->idle_since > kIdleTimeout &&
-             now - live->start_confirmed_at > 2 * kIdleTimeout) {
-    LogEvent(Part::kPlacer, "run_stands_still",
-             {{"task", platform::TaskName(row.run.task)},
-              {"run", row.run.number},
-              {"backend", server->entry.id.value},
-              {"idle_ms", AgeMs(live->idle_since, now)}});
-    AvoidServer(server, now);
-    SendStop(server, row.run, live, now);
-  }
-}
-
 /// Stops runs that would outlast a draining backend server, so that they start
 /// elsewhere.
 void Cell::Evacuate(Server* server, Time now) {
@@ -567,7 +523,7 @@
                 {"backend", server->entry.id.value},
                 {"to_go_ms", to_go},
                 {"left_ms", left}});
-      SendStop(server, it.first, &live, now);
+      SendStop(server, it.first, &live, "evacuated", now);
     }
   }
 }
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -16,6 +16,17 @@
 
 namespace bw {
 
+/// Externally visible state of a job. The values are persisted: only append.
+enum class JobState : uint32_t {
+  kActive = 0,
+  kCompleted = 1,
+  kFailed = 2,
+  kCancelled = 3,
+};
+
+/// @return The name of a state as callers know it.
+const char* StateName(JobState state);
+
 /// Advice settings of a queue whose steps need a ticket from the advice service
 /// for each backend server they run on.
 struct AdvicePolicy {
--- a/test/cell_test.cc
+++ b/test/cell_test.cc
@@ -713,6 +713,24 @@
   CHECK(it.stop_log.empty());
 }
 
+// A member stands still after its mates have finished their part: the gang ends
+// no more. It is started anew, away from that member's server.
+TEST(Cell, GangOfWhichNoMemberWorksIsRestarted) {
+  CellHarness it(2);
+  it.Submit(kJob, R"({"spec":"x","steps":[{"count":2,"cpu":5000,"memMb":100,)"
+                  R"("estimateMs":500,"gang":true}]})");
+  it.Advance(4000);
+  const auto first = it.Find(First(kJob));
+  const auto second = it.Find(First(kJob, 1));
+  it.backends.at(first->first).idle_runs.insert(first->second);
+  it.Advance(6000);
+  CHECK(it.stop_log.empty());
+  it.backends.at(second->first).idle_runs.insert(second->second);
+  it.Advance(3000);
+  CHECK(!it.stop_log.empty());
+  CHECK(it.stop_log.front().second == first->second);
+}
+
 TEST(Cell, IdleTaskIsRestartedElsewhere) {
   CellHarness it(2);
   it.Submit(kJob, CellHarness::Tasks(1, 1000));
