Feature: [Cell] Service tasks leave an evacuated zone one at a time; cold servers get no work first

Cause: tasks that last stayed in an evacuated zone for as long as their job does, so the zone never got empty. A server's coldLeftMs was not read.

Ruled out: a new run before the old one ends. A task has one run at a time (TWICE), so it is away between the two.

Change: of each service step one task at a time is stopped while all others have been at work for 2 s and a server elsewhere has room (and a ticket) for it; steps whose caller allows none to be away stay. A cold server counts as slow, so steps wait up to 1 s for a warm one, unless more than half of the servers are cold.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -569,6 +569,7 @@
     next_prefetch_ = now + kPrefetchInterval;
     PrefetchAdvice(now);
   }
+  MoveServices(now);
   constexpr milliseconds kWaitLogInterval{2000};
   if (now >= next_wait_log_) {
     next_wait_log_ = now + kWaitLogInterval;
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "cell_type.h"
+#include "evacuation_base.h"
 #include "fit_func.h"
 #include "order_func.h"
 #include "placing_delay_base.h"
@@ -85,9 +86,8 @@
   virtual void OnFenced() = 0;
   /// @return True while the owner is allowed to start tasks.
   virtual bool MayAct() const = 0;
-  /// @return True while tasks may start in the availability zone: its
-  /// evacuation is neither known nor possible.
-  virtual bool MayStartIn(const ZoneId& zone, Time now) const = 0;
+  /// @return Whether tasks may start in the availability zone.
+  virtual StartPermission CheckStart(const ZoneId& zone, Time now) const = 0;
   /// Called when a task that was placed in the zone may not start there.
   virtual void OnStartHeldBack(const ZoneId& zone, Time now) = 0;
   /// @return True while leases may be renewed: while the owner may act, and
@@ -269,6 +269,7 @@
     uint32_t pass_index = 0xffffffff;  ///< Index in the current pass.
     Time avoid_until = kNever;  ///< Gets no work before; it failed tasks.
     bool slow = false;          ///< Several times slower than others.
+    Time cold_until = kNever;   ///< Slow until then, as it has just started.
   };
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
@@ -414,6 +415,15 @@
   void CheckServer(Server* server, Time now);
   void Evacuate(Server* server, Time now);
 
+  bool MayStartIn(const Server& server, Time now) const {
+    return port_->CheckStart(server.entry.zone, now) ==
+           StartPermission::kAllowed;
+  }
+
+  // cell_evacuate.cc: service tasks in evacuated zones.
+  void MoveServices(Time now);
+  bool AreAllAtWork(const StepRef& ref, const Step& step, Time now) const;
+
   // cell_order.cc: orders to backend servers.
   void SendStart(const UnsentStart& start, Time now);
   platform::StartOrder MakeStartOrder(Server* server,
@@ -510,6 +520,11 @@
                  uint64_t run);
   uint64_t NextRun(const Job& job, const Task& task) const;
 
+  bool TakeRoom(Pass* pass,
+                const Job& job,
+                const StepRef& ref,
+                const Step& step);
+
   // cell_room.cc: free and reserved resources of the servers.
   Resources OccupiedResources(const StepSpec& spec) const;
   StepNeed NeedOf(const StepSpec& spec,
@@ -599,6 +614,7 @@
   std::map<TeamId, Resources>
       maybe_running_usage_;  ///< Resources of all those tasks.
   Time next_prefetch_ = kNever;
+  Time next_move_ = kNever;
   Time next_pass_ = kNever;
   Counts counters_;  ///< Only the cumulative fields are used.
   uint64_t last_arrival_ = 0;
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -40,7 +40,7 @@
   } else if (!server->lists_read || server->entry.draining ||
              server->suspect_until > now) {
     why_not = "backend server draining or not responding";
-  } else if (!port_->MayStartIn(server->entry.zone, now)) {
+  } else if (!MayStartIn(*server, now)) {
     why_not = "its zone is evacuated or may be";
     port_->OnStartHeldBack(server->entry.zone, now);
   } else if (job->policy.advice) {
@@ -106,7 +106,7 @@
       server->suspect_until > now || !port_->MayAct()) {
     return false;
   }
-  if (!port_->MayStartIn(server->entry.zone, now)) {
+  if (!MayStartIn(*server, now)) {
     port_->OnStartHeldBack(server->entry.zone, now);
     return false;
   }
--- a/src/cell_pass.h
+++ b/src/cell_pass.h
@@ -46,6 +46,7 @@
   size_t placed = 0;       ///< Steps that were placed whole.
   /// Steps still waiting that can meet their objective, by priority.
   PlacingDelay::Counts in_time;
+  bool avoid_cold = false;  ///< Most servers are warm.
   size_t reservations = 0;  ///< Gangs with reserved room.
   size_t max_reservations = 0;
 
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -63,14 +63,14 @@
   if (check_speed) {
     next_speed_check_ = pass->now + kSpeedCheckInterval;
   }
+  size_t cold = 0;
   for (auto& it : servers_) {
     Server& server = it.second;
     server.pass_index = kNoServer;
-    const bool open = server.listed && server.lists_read &&
-                      server.record_stored && !server.entry.draining &&
-                      server.unknown_job_runs == 0 &&
-                      server.suspect_until <= pass->now &&
-                      port_->MayStartIn(server.entry.zone, pass->now);
+    const bool open =
+        server.listed && server.lists_read && server.record_stored &&
+        !server.entry.draining && server.unknown_job_runs == 0 &&
+        server.suspect_until <= pass->now && MayStartIn(server, pass->now);
     if (open) {
       server.pass_index = static_cast<uint32_t>(pass->servers.size());
       pass->servers.push_back(&server);
@@ -79,11 +79,13 @@
       if (check_speed) {
         CheckSpeed(&server, pass->now);
       }
+      cold += server.cold_until > pass->now ? 1 : 0;
       ServiceCapacity& room = pass->services[server.service];
       room.total = room.total + server.entry.capacity;
       room.free = room.free + pass->free.back();
     }
   }
+  pass->avoid_cold = 2 * cold <= pass->servers.size();
   pass->max_reservations = std::max(
       kMinMaxReservations, pass->servers.size() / kServersPerReservation);
   half_empty_.clear();
--- a/src/cell_room.cc
+++ b/src/cell_room.cc
@@ -118,7 +118,8 @@
     candidate.total = server.entry.capacity;
     candidate.free = FreeFor(*pass, n, task_ms);
     candidate.rack = server.rack;
-    candidate.slow = server.slow;
+    candidate.slow =
+        server.slow || (pass->avoid_cold && server.cold_until > pass->now);
     if (!step_tasks.empty()) {
       const auto it = step_tasks.find(server.entry.id);
       candidate.step_tasks = it == step_tasks.end() ? 0 : it->second;
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -75,6 +75,10 @@
         now +
         milliseconds(static_cast<int64_t>(entry.remaining_ms.value_or(0)));
   }
+  server.cold_until =
+      entry.cold_left_ms == 0
+          ? kNever
+          : now + milliseconds(static_cast<int64_t>(entry.cold_left_ms));
   server.listed = true;
   if (!same && !server.storing_record) {
     server.record_stored = false;
--- a/src/cell_type.h
+++ b/src/cell_type.h
@@ -150,6 +150,7 @@
   uint64_t incarnation = 0;  ///< Wall-clock start time in ms; 0: not known.
   bool draining = false;
   std::optional<uint64_t> remaining_ms;  ///< Minimum drain time left.
+  uint64_t cold_left_ms = 0;  ///< How much longer it is slow after its start.
   Resources capacity;
   std::vector<std::string> labels;
   std::string rack;
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -245,8 +245,7 @@
 }
 
 void Owner::OnStartHeldBack(const ZoneId& zone, Time now) {
-  const bool evacuated =
-      parts_.evacuations->CheckStart(zone, now) == StartPermission::kEvacuated;
+  const bool evacuated = CheckStart(zone, now) == StartPermission::kEvacuated;
   parts_.metrics->Count(
       "bw_starts_held_back_total",
       evacuated ? R"(why="zone evacuated")" : R"(why="view too old")");
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -113,8 +113,8 @@
   }
   void OnFenced() override;
   bool MayAct() const override;
-  bool MayStartIn(const ZoneId& zone, Time now) const override {
-    return parts_.evacuations->MayStartIn(zone, now);
+  StartPermission CheckStart(const ZoneId& zone, Time now) const override {
+    return parts_.evacuations->CheckStart(zone, now);
   }
   void OnStartHeldBack(const ZoneId& zone, Time now) override;
   Time ReadClock() const override;
--- a/src/platform/backend.cc
+++ b/src/platform/backend.cc
@@ -291,6 +291,7 @@
   out.draining = state == "draining";
   out.incarnation = NumberOf(body, "born").value_or(0);
   out.remaining_ms = NumberUpTo(kMaxDurationMs, body, "remainingMs");
+  out.cold_left_ms = NumberUpTo(kMaxDurationMs, body, "coldLeftMs").value_or(0);
   out.capacity = ParseResources(body["capacity"]);
   for (const json& it : ListOf(body, "labels")) {
     if (it.is_string()) {
--- a/test/evacuation_test.cc
+++ b/test/evacuation_test.cc
@@ -153,4 +153,69 @@
   LONGS_EQUAL(1, it.Running({JobId("runs"), 0, 0, 0}));
 }
 
+// Load: a service of four tasks in a zone that is evacuated. Never is more than
+// one of them away, and they stay while there is no room for them elsewhere.
+TEST(Evacuation, ServiceTasksMoveOneAtATimeWhereThereIsRoom) {
+  Zones it;
+  it.port.evacuated = {kB};
+  it.Submit("s", CellHarness::Tasks(4, 3000, R"(,"perpetual":true)"));
+  it.Advance(3000);
+  LONGS_EQUAL(4, it.StartsIn(kA));
+  it.port.evacuated = {kA, kB};
+  it.Advance(5000);
+  CHECK(it.stop_log.empty());
+  it.port.evacuated = {kA};
+  for (int step = 0; step < 700; ++step) {
+    it.Advance(20);
+    int working = 0;
+    for (uint32_t n = 0; n < 4; ++n) {
+      working += it.Running({JobId("s"), 0, 0, n});
+    }
+    CHECK(working >= 3);
+  }
+  LONGS_EQUAL(4, it.StartsIn(kB));
+  LONGS_EQUAL(4, static_cast<long>(it.stop_log.size()));
+}
+
+// Load: as above; the caller allows no task to be away.
+TEST(Evacuation, ServiceTasksStayThatMayNotBeAway) {
+  Zones it;
+  it.port.evacuated = {kB};
+  it.Submit("s",
+            CellHarness::Tasks(2, 1000, R"(,"perpetual":true,"mayMiss":0)"));
+  it.Advance(3000);
+  it.port.evacuated = {kA};
+  it.Advance(5000);
+  CHECK(it.stop_log.empty());
+}
+
+// Load: a zone's servers come back cold while others are warm; later all are
+// cold, as after a loss of power.
+TEST(Evacuation, ColdServersGetNoWorkFirst) {
+  Zones it;
+  const auto announce = [&](const ZoneId& zone) {
+    for (auto& backend : it.backends) {
+      if (Zones::ZoneOf(backend.first) == zone) {
+        backend.second.entry.cold_left_ms = 60'000;
+        it.cell->SetBackend(backend.second.entry, it.now);
+      }
+    }
+  };
+  announce(kA);
+  it.Submit("j", CellHarness::Tasks(4, 8000));
+  it.Advance(900);
+  LONGS_EQUAL(0, it.StartsIn(kA));
+  LONGS_EQUAL(2, it.StartsIn(kB));
+  it.Advance(300);
+  LONGS_EQUAL(2, it.StartsIn(kA));  // Rather than wait on.
+  Zones all;
+  it.start_log.clear();
+  for (auto& backend : all.backends) {
+    backend.second.entry.cold_left_ms = 60'000;
+    all.cell->SetBackend(backend.second.entry, all.now);
+  }
+  all.Submit("j", CellHarness::Tasks(4, 8000));
+  LONGS_EQUAL(4, static_cast<long>(all.start_log.size()));
+}
+
 }  // namespace bw::test
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -80,8 +80,9 @@
   size_t CountIdleAdviceInstances() const override { return advice_instances; }
   void OnFenced() override { fenced = true; }
   bool MayAct() const override { return may_act; }
-  bool MayStartIn(const ZoneId& zone, Time) const override {
-    return !evacuated.contains(zone);
+  StartPermission CheckStart(const ZoneId& zone, Time) const override {
+    return evacuated.contains(zone) ? StartPermission::kEvacuated
+                                    : StartPermission::kAllowed;
   }
   void OnStartHeldBack(const ZoneId&, Time) override { ++starts_held_back; }
   bool MayRenew(milliseconds) const override { return may_act; }
