Feature: [Order] A step whose estimate leaves no margin comes after the others of its priority

By least slack alone, while more is asked than there is room, each step waits until its slack is used up; as tasks take longer than estimated, all end late. Change: within a priority, steps with less slack than a quarter of their remaining time come after those with more, the most slack first.

--- a/src/order.cc
+++ b/src/order.cc
@@ -8,6 +8,9 @@
 
 /// Completions within three times the objective earn credit: RULES, "Credit".
 constexpr uint64_t kLateFactor = 3;
+/// Estimates are rough, and the slowest server decides when a step ends: a step
+/// with less slack than this part of its remaining time often ends late.
+constexpr int64_t kMarginDivisor = 4;
 /// Maximum of waiting rate-limited jobs. They run only on capacity that other
 /// jobs leave unused, so a longer queue would not complete more of them.
 constexpr size_t kMaxRateLimitedWaiting = 40;
@@ -38,10 +41,18 @@
   return it.has_reservation ? DeadlineClass::kInTime : DeadlineClass::kLate;
 }
 
+bool IsDoubtful(const WaitingStep& it) {
+  const int64_t slack = it.objective_in_ms - it.remaining_ms;
+  return DeadlineClassOf(it) == DeadlineClass::kInTime && !it.has_reservation &&
+         slack < it.remaining_ms / kMarginDivisor;
+}
+
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b) {
   const auto key = [](const WaitingStep& it) {
+    const int64_t slack = it.objective_in_ms - it.remaining_ms;
+    const bool doubtful = IsDoubtful(it);
     return std::make_tuple(it.rate_limited, DeadlineClassOf(it), it.priority,
-                           it.objective_in_ms - it.remaining_ms, it.arrival,
+                           doubtful, doubtful ? -slack : slack, it.arrival,
                            it.step);
   };
   return key(a) < key(b);
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -31,9 +31,15 @@
 };
 DeadlineClass DeadlineClassOf(const WaitingStep& it);
 
+/// @return True if the step can meet its objective only if its estimate holds.
+/// A step with reserved room is not doubtful: it starts when that is complete.
+bool IsDoubtful(const WaitingStep& it);
+
 /// @return True if `a` is scheduled before `b`. Steps within their account's
 /// rate limit come first, then the better deadline class, then the higher
-/// priority, then the least slack.
+/// priority, then the least slack. While more is asked than there is room,
+/// every step would wait until its slack is used up, and all would end late:
+/// doubtful ones come after the others of their priority, the most slack first.
 bool ComesBefore(const WaitingStep& a, const WaitingStep& b);
 
 /// Latency objective of a job. Both times count from the job's acceptance; for
