Fix: [Admission] Steps beyond their account's rate are bounded by queue and fill no other account's backlog

The 40 steps that may wait beyond the rate were wide ones that waited for advice for many seconds, so no short step of the account got in, and they counted to the backlog for which other accounts are refused. Change: the bound holds for each queue; the backlog counts only steps within their account's rate.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -203,7 +203,7 @@
     return;
   }
   job.rate_limited = IsRateLimited(id, team, now);
-  if (ShouldRejectJob(job.rate_limited, ready_.CountRateLimited())) {
+  if (ShouldRejectJob(job.rate_limited, ready_.CountRateLimited(queue))) {
     LogEvent(Part::kPlacer, "job_refused",
              {{"job", id.value},
               {"team", team.value},
@@ -244,7 +244,7 @@
   const bool half_empty = found == service_numbers_.end() ||
                           found->second >= half_empty_.size() ||
                           half_empty_[found->second];
-  if (IsBacklogFull(ready_.Size(), servers_.size(), half_empty)) {
+  if (IsBacklogFull(ready_.CountWithinRate(), servers_.size(), half_empty)) {
     return "too many steps are waiting";
   }
   if (half_empty && placing_delay_.BacklogTime() > kMaxBacklogTime) {
@@ -386,7 +386,7 @@
       steps[n].ready = true;
       steps[n].waiting_since = now;
       if (steps[n].done < steps[n].tasks.size()) {
-        ready_.Insert({job->id, occurrence, n}, job->rate_limited);
+        ready_.Insert({job->id, occurrence, n}, job->queue, job->rate_limited);
       }
     }
   }
--- a/src/cell_run.cc
+++ b/src/cell_run.cc
@@ -273,7 +273,8 @@
   if (spec.gang) {
     TearDownGang(job, ref, now);
   } else {
-    ready_.Insert({ref.job, ref.occurrence, ref.step}, job->rate_limited);
+    ready_.Insert({ref.job, ref.occurrence, ref.step}, job->queue,
+                  job->rate_limited);
   }
 }
 
@@ -295,7 +296,7 @@
   Step& step = job->occurrences.at(member.occurrence).steps[member.step];
   if (step.live == 0) {
     step.tearing_down = false;
-    ready_.Insert({member.job, member.occurrence, member.step},
+    ready_.Insert({member.job, member.occurrence, member.step}, job->queue,
                   job->rate_limited);
     return;
   }
--- a/src/order.cc
+++ b/src/order.cc
@@ -11,8 +11,8 @@
 /// Estimates are rough, and the slowest server decides when a step ends: a step
 /// with less slack than this part of its remaining time often ends late.
 constexpr int64_t kMarginDivisor = 4;
-/// Maximum of waiting rate-limited jobs. They run only on capacity that other
-/// jobs leave unused, so a longer queue would not complete more of them.
+/// Maximum of waiting rate-limited steps of a queue. They run only on capacity
+/// that other jobs leave unused, so more would not complete more of them.
 constexpr size_t kMaxRateLimitedWaiting = 40;
 /// Maximum of waiting steps, for each backend server and at least. A server
 /// starts a few steps a second at most.
--- a/src/order_func.h
+++ b/src/order_func.h
@@ -59,13 +59,17 @@
                         const std::vector<bool>& still_to_do);
 
 /// @return True if a new job is rejected: its account is over its rate limit,
-/// and too many rate-limited jobs are waiting already.
+/// and too many rate-limited steps of its queue are waiting already. Those of
+/// other queues don't count, as wide steps that wait for long would keep short
+/// ones from room that is left.
 /// @param rate_limited The job's account is over its rate limit.
-/// @param rate_limited_waiting Number of waiting jobs over their rate limits.
+/// @param rate_limited_waiting Number of those steps.
 bool ShouldRejectJob(bool rate_limited, size_t rate_limited_waiting);
 
 /// @return True if new jobs are rejected because so many steps are waiting that
 /// a further one could hardly start in time.
+/// @param waiting_steps Those of jobs within their account's rate limit; the
+/// others come after any new one of these.
 /// @param half_empty Whether less than half of the servers' capacity is in use;
 /// then most of the waiting steps need particular servers.
 bool IsBacklogFull(size_t waiting_steps, size_t servers, bool half_empty);
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -13,6 +13,7 @@
 #include "../src/platform/backend.h"
 #include "../src/platform/configuration.h"
 #include "../src/platform/ingress.h"
+#include "../src/ready_steps_base.h"
 #include "../src/ticket_margin_base.h"
 #include "../src/wall_clock_base.h"
 
@@ -269,6 +270,32 @@
   CHECK(ShouldRejectJob(true, 100'000));
 }
 
+// Load: one account sends six times its usual; its wide steps beyond its rate
+// waited for long, so its short ones were refused with a third of the room free
+// and its neighbours by a backlog that was not theirs.
+TEST(Order, StepsBeyondTheRateAreCountedByQueueAndNotForTheOthers) {
+  ReadySteps ready;
+  const QueueId wide("wide");
+  const QueueId quick("quick");
+  for (uint32_t n = 0; n < 50; ++n) {
+    ready.Insert({JobId("w"), 0, n}, wide, true);
+    ready.Insert({JobId("w"), 0, n}, wide, true);
+    ready.Insert({JobId("q"), 0, n}, quick, false);
+  }
+  ready.Insert({JobId("h"), 0, 0}, quick, true);
+  CHECK_EQUAL(size_t{101}, ready.Size());
+  CHECK(ShouldRejectJob(true, ready.CountRateLimited(wide)));
+  CHECK(!ShouldRejectJob(true, ready.CountRateLimited(quick)));
+  CHECK_EQUAL(size_t{50}, ready.CountWithinRate());
+  for (uint32_t n = 0; n < 50; ++n) {
+    ready.Erase({JobId("w"), 0, n});
+  }
+  ready.Erase({JobId("q"), 0, 0});
+  CHECK_EQUAL(size_t{0}, ready.CountRateLimited(wide));
+  CHECK_EQUAL(size_t{1}, ready.CountRateLimited(quick));
+  CHECK_EQUAL(size_t{49}, ready.CountWithinRate());
+}
+
 TEST_GROUP(Fit){};
 
 // Load: small tasks are placed before wide tasks that need large free blocks.
