--- a/src/cell_evacuate.cc
+++ b/src/cell_evacuate.cc
@@ -83,7 +83,8 @@
                 {"run", from.second.number},
                 {"backend", from.first->entry.id.value},
                 {"zone", from.first->entry.zone.value}});
-      SendStop(from.first, from.second, &from.first->runs.at(from.second), now);
+      SendStop(from.first, from.second, &from.first->runs.at(from.second),
+               "zone evacuated", now);
     }
   }
 }
