Fix: [Cell] A lost server's tasks waited for one more poll of it (LOST)

Cause: tasks start elsewhere only while no report of the server can be pending. The server is polled once a second with a time-out of 0.7 s, so the end of its leases was mostly noticed 0.1 to 0.7 s late. Ruled out: the length of leases; it is unchanged. Change: a silent server is not polled in the last 0.7 s before its leases lapse on the slowest clock.

--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kPollPause{60};
 /// Pause after a poll that failed.
 constexpr milliseconds kPollRetry{300};
+/// Usual time-out of a poll of a server that does not respond.
+constexpr milliseconds kSilentPollTimeout{700};
 /// Interval between attempts to send a stop.
 constexpr milliseconds kStopRetry{500};
 /// Ends are acknowledged only if the last report is younger than this: a
@@ -263,7 +265,13 @@
       (server->listed && !server->lists_read) ||
       (!server->lists_read && server->unknown_leases_lapse_at != kNever) ||
       !server->runs.empty();
-  if (wanted && !server->poll_in_flight && now >= server->next_poll_at) {
+  // Tasks of a silent server start elsewhere once its leases have lapsed and no
+  // report of it can be pending.
+  const bool lapses_soon = IsSilent(*server, now) &&
+                           !LeasesLapsed(*server, now) &&
+                           LeasesLapsed(*server, now + kSilentPollTimeout);
+  if (wanted && !server->poll_in_flight && now >= server->next_poll_at &&
+      !lapses_soon) {
     SendPoll(server, now);
   }
   for (auto& it : server->runs) {
--- a/test/cell_report_test.cc
+++ b/test/cell_report_test.cc
@@ -174,6 +174,40 @@
   STRCMP_EQUAL("running", s.it.State(kJob).c_str());
 }
 
+// A backend server is lost, and polls of it time out. The end of its leases was
+// noticed only after the poll that was pending then, up to 0.7 s later (rule
+// LOST: at most 7 s without a run).
+TEST(CellReport, TasksOfALostServerStartElsewhereAsSoonAsItsLeasesHaveLapsed) {
+  constexpr milliseconds kPollTimeout{700};
+  // A lease of 6.5 s on a clock that is 2 % slow, 0.1 s of margin, and a tick.
+  constexpr milliseconds kLapsed{6'760};
+  for (int n = 0; n < 10; ++n) {
+    CellHarness it(2);
+    it.Submit(kJob, CellHarness::Tasks(1, 1000));
+    const TaskRef task{JobId(kJob), 0, 0, 0};
+    it.Advance(2000);
+    // The first one may have been waiting for a run to end for 1 s.
+    milliseconds timeout = kPollTimeout + milliseconds(n * 100);
+    FakeBackend& lost = it.backends.at(it.Find(task)->first);
+    const Time lost_at = it.now;
+    lost.reachable = false;
+    lost.holds_polls = true;
+    it.cell->DropBackend(lost.entry.id);
+    while (it.start_log.size() < 2 && it.now < lost_at + 2 * kLapsed) {
+      it.Advance(20);
+      while (!it.held_since.empty() &&
+             it.now >= it.held_since.front() + timeout) {
+        timeout = kPollTimeout;
+        const auto report = it.held_reports.front();
+        it.held_reports.erase(it.held_reports.begin());
+        it.held_since.erase(it.held_since.begin());
+        it.cell->OnPollResponse(report.first, report.second, it.now, it.now);
+      }
+    }
+    CHECK(it.now <= lost_at + kLapsed);
+  }
+}
+
 // A backend server hangs. Jobs placed there were not counted as waiting, though
 // none of their tasks had started.
 TEST(CellReport, JobsThatNoServerHasStartedAreWaiting) {
