--- a/src/cell_evacuate.cc
+++ b/src/cell_evacuate.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// Interval between looks for tasks to move.
-constexpr milliseconds kMoveInterval{200};
+constexpr milliseconds kMoveInterval{500};
 /// A service task counts as at work this long after its start was confirmed.
 constexpr milliseconds kServiceStartup{2000};
 
--- a/test/evacuation_test.cc
+++ b/test/evacuation_test.cc
@@ -165,8 +165,17 @@
   it.Advance(5000);
   CHECK(it.stop_log.empty());
   it.port.evacuated = {kA};
+  size_t stops = 0;
+  int since_stop_ms = 10'000;
   for (int step = 0; step < 700; ++step) {
     it.Advance(20);
+    since_stop_ms += 20;
+    if (it.stop_log.size() > stops) {
+      CHECK(since_stop_ms >= 2000);  // The one before is at work by now.
+      LONGS_EQUAL(1, static_cast<long>(it.stop_log.size() - stops));
+      stops = it.stop_log.size();
+      since_stop_ms = 0;
+    }
     int working = 0;
     for (uint32_t n = 0; n < 4; ++n) {
       working += it.Running({JobId("s"), 0, 0, n});
