--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -541,6 +541,14 @@
     }
     std::this_thread::sleep_for(milliseconds(10));
   }
+  /// Runs until the condition holds. @return False if it does not in time.
+  bool RunUntil(const std::function<bool()>& condition) {
+    constexpr int kTries = 300;
+    for (int n = 0; n < kTries && !condition(); ++n) {
+      RunFor(5);
+    }
+    return condition();
+  }
   uint64_t Version() const {
     return watch.Current() ? watch.Current()->version : 0;
   }
@@ -569,15 +577,14 @@
   ConfigFixture it;
   it.store.Put(kOperator, platform::kConfigKey, Config(1));
   it.loop.Start();
-  it.RunFor(60);
+  CHECK(it.RunUntil([&] { return it.Version() == 1; }));
   it.loop.Post([&] {
     for (int n = 2; n < 6; ++n) {
       it.store.Put(kOperator, platform::kConfigKey, Config(n));
     }
     it.store.first[kOperator] = 5;
   });
-  it.RunFor(100);
-  CHECK_EQUAL(5U, it.Version());
+  CHECK(it.RunUntil([&] { return it.Version() == 5; }));
   it.loop.Stop();
 }
 
@@ -616,7 +623,6 @@
   ConfigFixture it;
   const auto put = [&](const std::string& key, const std::string& value) {
     it.loop.Post([&it, key, value] { it.store.Put(kOperator, key, value); });
-    it.RunFor(60);
   };
   const auto allowed = [&](const char* zone) {
     return it.evacuations.MayStartIn(ZoneId(zone), BootClock::now());
@@ -624,22 +630,20 @@
   it.store.Put(kOperator, "evacuate/a", "{}");
   CHECK_FALSE(allowed("b"));  // Nothing is known yet.
   it.loop.Start();
-  it.RunFor(60);
+  CHECK(it.RunUntil([&] { return allowed("b"); }));
   CHECK_FALSE(allowed("a"));
-  CHECK(allowed("b"));
   put("evacuate/b", "\xff{");
-  CHECK_FALSE(allowed("b"));
+  CHECK(it.RunUntil([&] { return !allowed("b"); }));
   put("evacuate/", "{}");
   put("evacuate/a", "");
-  CHECK(allowed("a"));
+  CHECK(it.RunUntil([&] { return allowed("a"); }));
   it.loop.Post([&] {
     it.store.Put(kOperator, "evacuate/b", "");
     it.store.Put(kOperator, "evacuate/b", "");
     it.store.compacted[kOperator].erase("evacuate/b");
     it.store.first[kOperator] = it.store.log[kOperator].size();
   });
-  it.RunFor(100);
-  CHECK(allowed("b"));
+  CHECK(it.RunUntil([&] { return allowed("b"); }));
   it.loop.Stop();
 }
 
@@ -648,17 +652,17 @@
   ConfigFixture it;
   it.evacuations.SetBound(milliseconds(600));
   it.loop.Start();
-  it.RunFor(60);
-  CHECK(it.evacuations.MayStartIn(ZoneId("a"), BootClock::now()));
+  const auto allowed = [&] {
+    return it.evacuations.MayStartIn(ZoneId("a"), BootClock::now());
+  };
+  CHECK(it.RunUntil(allowed));
   it.loop.Post([&] {
     it.store.fault_mode = fake::MemoryStore::FaultMode::kRejectCalls;
   });
-  it.RunFor(500);
-  CHECK_FALSE(it.evacuations.MayStartIn(ZoneId("a"), BootClock::now()));
+  CHECK(it.RunUntil([&] { return !allowed(); }));
   it.loop.Post(
       [&] { it.store.fault_mode = fake::MemoryStore::FaultMode::kNone; });
-  it.RunFor(300);
-  CHECK(it.evacuations.MayStartIn(ZoneId("a"), BootClock::now()));
+  CHECK(it.RunUntil(allowed));
   it.loop.Stop();
 }
 
