Test: [Net] Open connections on all addresses exhaust the descriptors; lint

Crowd.OpenConnectionsOnAllAddresses fails here: with 256 descriptors, 128 connections on each of three addresses, closed again, leave an address that never accepts any more. Renamed accessors.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -96,7 +96,7 @@
   size_t MaxBodyBytes() const {
     return max_body_bytes_now_ ? max_body_bytes_now_() : max_body_bytes_;
   }
-  const std::shared_ptr<CallerBudget>& budget() const { return budget_; }
+  const std::shared_ptr<CallerBudget>& Budget() const { return budget_; }
 
   void AddAccount(const Endpoint& peer, const CallerBudget::AccountPtr& it) {
     std::lock_guard lock(mutex_);
@@ -268,13 +268,13 @@
   }
   ~Intake() {
     calls_->RemoveAccount(peer_, account_);
-    calls_->budget()->Close(account_);
+    calls_->Budget()->Close(account_);
   }
   Intake(const Intake&) = delete;
   Intake& operator=(const Intake&) = delete;
 
   void Open() {
-    account_ = calls_->budget()->Open(
+    account_ = calls_->Budget()->Open(
         [weak = weak_from_this(), executor = socket_->get_executor()] {
           asio::post(executor, [weak] {
             if (const auto it = weak.lock()) {
@@ -285,9 +285,9 @@
     calls_->AddAccount(peer_, account_);
   }
 
-  const Endpoint& peer() const { return peer_; }
-  bool is_doomed() const { return is_doomed_; }
-  bool is_refused() const { return is_refused_; }
+  const Endpoint& Peer() const { return peer_; }
+  bool IsDoomed() const { return is_doomed_; }
+  bool IsRefused() const { return is_refused_; }
 
   /// Hands bytes to the library by calling `parse`, then counts what the
   /// request uses. @pre The connection outlives the call.
@@ -325,7 +325,7 @@
   void SetUsed(size_t bytes) {
     if (bytes != used_) {
       used_ = bytes;
-      calls_->budget()->SetUnfinished(account_, bytes);
+      calls_->Budget()->SetUnfinished(account_, bytes);
     }
   }
 
@@ -342,7 +342,7 @@
   /// connection it is closed after their responses.
   void Refuse() {
     is_refused_ = true;
-    calls_->budget()->CountTooLarge();
+    calls_->Budget()->CountTooLarge();
     asio::error_code ec;
     if (!calls_->HasOpenCalls(peer_)) {
       socket_->non_blocking(true, ec);
@@ -395,13 +395,13 @@
         asio::bind_executor(
             executor, [this, executor, buffers, handler = std::move(handler)](
                           const asio::error_code& ec, size_t length) mutable {
-              if (intake_->is_doomed()) {
+              if (intake_->IsDoomed()) {
                 handler(asio::error::connection_reset, 0);
               } else if (ec == asio::error::eof) {
                 EndAfterResponses(executor, std::move(handler));
               } else if (ec) {
                 handler(ec, length);
-              } else if (intake_->is_refused()) {
+              } else if (intake_->IsRefused()) {
                 if (intake_->Drop(length)) {
                   async_read_some(buffers, std::move(handler));
                 } else {
@@ -417,7 +417,7 @@
   template <typename Executor, typename Handler>
   void EndAfterResponses(const Executor& executor, Handler handler) {
     const asio::error_code ec = asio::error::eof;
-    calls_->AfterResponses(intake_->peer(), [executor, handler, ec] {
+    calls_->AfterResponses(intake_->Peer(), [executor, handler, ec] {
       asio::post(executor, [handler, ec]() mutable { handler(ec, 0); });
     });
   }
@@ -445,7 +445,7 @@
            size_t bytes)
       : calls_(std::move(calls)),
         number_(calls_->Add(std::move(handle))),
-        charge_(calls_->budget(), nullptr, bytes) {}
+        charge_(calls_->Budget(), nullptr, bytes) {}
   ~OpenCall() { calls_->Remove(number_); }
   OpenCall(const OpenCall&) = delete;
   OpenCall& operator=(const OpenCall&) = delete;
@@ -501,11 +501,11 @@
     const Endpoint peer = handle->remote_endpoint();
     // The library keeps its own copy until the response.
     const size_t bytes = 2 * request.body.size();
-    const bool has_room = calls->budget()->MakeRoom(bytes);
+    const bool has_room = calls->Budget()->MakeRoom(bytes);
     const auto call =
         std::make_shared<OpenCall>(calls, std::move(handle), bytes);
     if (!has_room) {
-      calls->budget()->CountRefused();
+      calls->Budget()->CountRefused();
       call->Respond(MakeNoRoomResponse());
       return restinio::request_accepted();
     }
--- a/test/caller_budget_test.cc
+++ b/test/caller_budget_test.cc
@@ -38,8 +38,8 @@
           respond(out);
         });
   }
-  const std::string& address() const { return address_; }
-  const net::CallerBudget& budget() const { return *budget_; }
+  const std::string& Address() const { return address_; }
+  const net::CallerBudget& Budget() const { return *budget_; }
 
  private:
   const std::string address_;
@@ -109,13 +109,13 @@
        {InChunksOfOneByte(kMaxBody), WithLength(kMaxBody, kMaxBody),
         InChunksOfOneByte(0), InChunksOfOneByte(kMaxBody)}) {
     RawConnection connection;
-    connection.Open(server.address());
+    connection.Open(server.Address());
     for (int n = 0; n < 3; ++n) {
       CHECK(connection.Send(it));
       LONGS_EQUAL(200, StatusOf(&connection));
     }
   }
-  CHECK(Eventually([&] { return server.budget().Used() == 0; }));
+  CHECK(Eventually([&] { return server.Budget().Used() == 0; }));
 }
 
 TEST(CallerBudget, ABodyOverTheLimitIsRefusedWhileItIsRead) {
@@ -125,19 +125,19 @@
        {WithLength(kMaxBody + 1, 0), WithLength(900'000'000, 300'000),
         InChunksOfOneByte(kMaxBody + 5000)}) {
     RawConnection connection;
-    connection.Open(server.address());
+    connection.Open(server.Address());
     CHECK(connection.Send(it));
     LONGS_EQUAL(413, StatusOf(&connection));
     CHECK(connection.IsClosing());
   }
-  CHECK(Eventually([&] { return server.budget().Used() == 0; }));
-  CHECK_EQUAL(3, server.budget().Count().too_large);
+  CHECK(Eventually([&] { return server.Budget().Used() == 0; }));
+  CHECK_EQUAL(3, server.Budget().Count().too_large);
 }
 
 TEST(CallerBudget, AnEarlierRequestOfARefusedCallerIsAnswered) {
   const Server server;
   RawConnection connection;
-  connection.Open(server.address());
+  connection.Open(server.Address());
   CHECK(connection.Send(WithLength(5, 5) + WithLength(900'000'000, 10)));
   LONGS_EQUAL(200, StatusOf(&connection));
   connection.AwaitEnd(BootClock::now() + milliseconds(5000));
@@ -150,16 +150,16 @@
   constexpr int kConnections = 12;
   for (int n = 0; n < kConnections; ++n) {
     all.push_back(std::make_unique<RawConnection>());
-    all.back()->Open(server.address());
+    all.back()->Open(server.Address());
     all.back()->Send(WithLength(kMaxBody, kMaxBody - 1));
-    CHECK(server.budget().Used() < 2 * kBudget);
+    CHECK(server.Budget().Used() < 2 * kBudget);
   }
   RawConnection connection;
-  connection.Open(server.address());
+  connection.Open(server.Address());
   CHECK(connection.Send(WithLength(5, 5)));
   LONGS_EQUAL(200, StatusOf(&connection));
-  CHECK(Eventually([&] { return server.budget().Used() <= kBudget; }));
-  CHECK(server.budget().Count().closed > 0);
+  CHECK(Eventually([&] { return server.Budget().Used() <= kBudget; }));
+  CHECK(server.Budget().Count().closed > 0);
 }
 
 }  // namespace bw::test
--- a/test/crowd_test.cc
+++ b/test/crowd_test.cc
@@ -12,6 +12,8 @@
 #include <string>
 #include <vector>
 
+#include <sys/resource.h>
+
 #include "support/entry_fleet.h"
 #include "support/raw_caller.h"
 
@@ -24,7 +26,7 @@
 constexpr int kCrowd = 60;
 constexpr const char* kUnfinishedLimit = "limits.unfinished_kb=4096";
 /// Memory that a process may use beyond what it uses at rest.
-constexpr size_t kMostMoreKb = 24 * 1024;
+constexpr size_t kMostMoreKb = 24'576;
 /// Descriptors that a process may use beyond its callers' connections and
 /// those that it has at rest.
 constexpr size_t kMostMoreFds = 64;
@@ -256,6 +258,33 @@
   CheckCrowd(PipelinedBodies);
 }
 
+// Each listen address has a limit of its own; together they exceed the
+// process's descriptors, and a failed accept is the last one.
+TEST(Crowd, OpenConnectionsOnAllAddresses) {
+  constexpr rlim_t kDescriptors = 256;
+  EntryFleet fleet(1, 1);
+  CHECK(fleet.Start());
+  fleet.Entry(0).Kill();
+  fleet.StartEntry(0);
+  const rlimit limit{kDescriptors, kDescriptors};
+  LONGS_EQUAL(0, prlimit(fleet.Entry(0).Pid(), RLIMIT_NOFILE, &limit, nullptr));
+  CHECK(Eventually([&] { return fleet.IsReady(0); }));
+  std::vector<std::unique_ptr<RawConnection>> crowd;
+  for (rlim_t n = 0; n < kDescriptors / 2; ++n) {
+    for (const auto& it :
+         {fleet.FrontOf(0), fleet.ReadyOf(0), fleet.MetricsOf(0)}) {
+      crowd.push_back(std::make_unique<RawConnection>());
+      crowd.back()->Open(it);
+      crowd.back()->SendSome("GET /", kPatience);
+    }
+  }
+  crowd.clear();
+  for (const auto& it :
+       {fleet.FrontOf(0), fleet.ReadyOf(0), fleet.MetricsOf(0)}) {
+    CHECK_TEXT(IsAnswered(fleet, 0, it), it.c_str());
+  }
+}
+
 TEST(Crowd, Mixed) {
   CheckCrowd(Mixed);
 }
