Fix: [Net] Callers of all addresses together leave descriptors

Cause: the front, the readiness check and the metrics each accepted as many connections as the process's descriptors allow; an accept that fails for want of one is the last of its address. Change: nine tenths of the connections for callers, a twentieth each for the others.

--- a/src/entry.cc
+++ b/src/entry.cc
@@ -26,6 +26,8 @@
 constexpr milliseconds kIdleConnection{60'000};
 /// Until there is a configuration.
 constexpr size_t kMaxBodyBytes = 1 << 20;
+/// Of the connections: of the readiness check and of the metrics, each.
+constexpr double kOtherConnectionShare = 0.05;
 /// Of requests that need no body.
 constexpr size_t kMaxOtherBodyBytes = 16 << 10;
 /// Longest wait for a listen address that is in use, as by a former process
@@ -119,6 +121,7 @@
   front.listen = options_.listen_front;
   front.read_timeout = kIdleConnection;
   front.max_body_bytes_now = [this] { return max_body_bytes_.load(); };
+  front.connection_share = 1 - 2 * kOtherConnectionShare;
   front.budget = budget_;
   front_server_ = Listen(
       front, [this](const net::HttpRequest& request, net::Responder respond) {
@@ -128,6 +131,7 @@
   ready.listen = options_.listen_ready;
   ready.read_timeout = kIdleConnection;
   ready.max_body_bytes = kMaxOtherBodyBytes;
+  ready.connection_share = kOtherConnectionShare;
   ready.budget = budget_;
   ready_server_ = Listen(ready, [this](const net::HttpRequest& request,
                                        const net::Responder& respond) {
@@ -137,6 +141,7 @@
     net::HttpServerOptions metrics;
     metrics.listen = options_.listen_metrics;
     metrics.max_body_bytes = kMaxOtherBodyBytes;
+    metrics.connection_share = kOtherConnectionShare;
     metrics.budget = budget_;
     metrics_server_ = Listen(metrics, [this](const net::HttpRequest&,
                                              const net::Responder& respond) {
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -472,12 +472,14 @@
 
 /// RESTinio never accepts again after an accept has failed, as for want of
 /// descriptors. So callers must leave some.
-size_t MaxConnections() {
+size_t MaxConnections(double share) {
   constexpr rlim_t kOtherFds = 1000;
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
-  return limit.rlim_cur > 2 * kOtherFds ? limit.rlim_cur - kOtherFds
-                                        : limit.rlim_cur / 2;
+  const rlim_t all = limit.rlim_cur > 2 * kOtherFds ? limit.rlim_cur - kOtherFds
+                                                    : limit.rlim_cur / 2;
+  return std::max<size_t>(
+      1, static_cast<size_t>(static_cast<double>(all) * share));
 }
 
 }  // namespace
@@ -541,7 +543,7 @@
           .handle_request_timeout(options.handle_timeout)
           .write_http_response_timelimit(options.read_timeout)
           .max_pipelined_requests(kMaxPipelined)
-          .max_parallel_connections(MaxConnections())
+          .max_parallel_connections(MaxConnections(options.connection_share))
           .incoming_http_msg_limits(
               restinio::incoming_http_msg_limits_t{}
                   .max_field_count(kMaxFields)
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -17,6 +17,9 @@
   size_t max_body_bytes = 1 << 20;
   /// Replaces `max_body_bytes` if set. Called on the server's thread.
   std::function<size_t()> max_body_bytes_now = {};
+  /// Share of the connections that the process's descriptors allow, more than 0
+  /// and at most 1. Those of all servers of a process must not exceed 1.
+  double connection_share = 1;
   /// Memory that callers' requests and responses may use; may be empty.
   std::shared_ptr<CallerBudget> budget = {};
   milliseconds handle_timeout{120'000};  ///< Until the handler responds.
