Fix: [Speed] A tail of long tasks is not taken for slow servers

The weight comes from the standard deviation, tail included, and a running task counts as an overrun only beyond 99% of the run times.

--- a/src/run_time.cc
+++ b/src/run_time.cc
@@ -219,6 +219,25 @@
   return std::exp2(kMinOctave + bins / kBinsPerOctave);
 }
 
+/// @return Standard deviation of the log run time.
+double RunTimes::DeviationOf(const Hazards& hazards) {
+  double left = 1;
+  double sum = 0;
+  double squares = 0;
+  double bins = 0;
+  for (const double hazard : hazards) {
+    const double share = left * hazard;
+    sum += share * bins;
+    squares += share * bins * bins;
+    left -= share;
+    bins += 1;
+  }
+  sum += left * bins;
+  squares += left * bins * bins;
+  return std::sqrt(std::max(squares - sum * sum, 0.0)) * std::numbers::ln2 /
+         kBinsPerOctave;
+}
+
 /// Corrects a coarser class's distribution by what runs of this class took. The
 /// coarser one counts as kParentRuns runs.
 void RunTimes::Correct(const Node& node, Time now, Distribution* out) {
@@ -297,10 +316,13 @@
                                 Time now) const {
   constexpr double kHalf = 0.5;
   constexpr double kTenth = 0.1;
+  constexpr double kHundredth = 0.01;
   const Distribution found = DistributionOf(run_class, stated_ms, now);
   const double stated = StatedOrDefault(stated_ms);
   return {stated * QuantileOf(found.hazards, kHalf),
-          stated * QuantileOf(found.hazards, kTenth), found.confidence};
+          stated * QuantileOf(found.hazards, kTenth),
+          stated * QuantileOf(found.hazards, kHundredth),
+          DeviationOf(found.hazards), found.confidence};
 }
 
 double RunTimes::RemainingMs(const RunClass& run_class,
--- a/src/run_time_base.h
+++ b/src/run_time_base.h
@@ -94,6 +94,7 @@
   static Key KeyOf(const RunClass& run_class, double stated_ms, size_t level);
   static int BinOf(double stated_ms, double ran_ms);
   static Hazards StatedHazards();
+  static double DeviationOf(const Hazards& hazards);
   static double QuantileOf(const Hazards& hazards, double share_left);
   static void Correct(const Node& node, Time now, Distribution* out);
   static void ShiftIntoRange(const Node& queue,
--- a/src/run_time_type.h
+++ b/src/run_time_type.h
@@ -24,6 +24,8 @@
 struct RunExpectation {
   double median_ms = 0;
   double p90_ms = 0;
+  double p99_ms = 0;
+  double deviation = 0;  ///< Standard deviation of the logarithm.
   /// Share of the answer that comes from runs; 0: all of it is the stated
   /// estimate.
   double confidence = 0;
--- a/src/speed.cc
+++ b/src/speed.cc
@@ -20,9 +20,8 @@
 constexpr double kMinConfidence = 0.66;
 /// Deviations beyond this, in either direction, say little about the server.
 constexpr double kMaxDeviation = 2.5;
-/// Number of standard deviations from the median to the 90% quantile.
-constexpr double kP90Deviations = 1.28;
-/// A running task counts as an overrun beyond this many standard deviations.
+/// A running task counts as an overrun beyond this many standard deviations and
+/// beyond 99% of the run times.
 constexpr double kOverrunDeviations = 2;
 /// Lifetime of an overrun. A task that is still running is reported again
 /// within this time.
@@ -31,11 +30,6 @@
 /// by less; a server in trouble is several times slower.
 constexpr double kBadFactor = 1.8;
 
-/// @return Standard deviation of the log run time.
-double DeviationOf(const RunExpectation& it) {
-  return std::log(it.p90_ms / it.median_ms) / kP90Deviations;
-}
-
 }  // namespace
 
 double SpeedMeter::DecayedMean::DecayAt(double decay_s, Time now) const {
@@ -64,8 +58,8 @@
                         RunProgress progress) {
   const RunExpectation expected = run_times_->Expect(run_class, stated_ms, now);
   if (expected.confidence >= kMinConfidence) {
-    const double spread = DeviationOf(expected);
-    const double weight = 1 / (spread * spread + kTaskVariance);
+    const double weight =
+        1 / (expected.deviation * expected.deviation + kTaskVariance);
     const double deviation = std::clamp(std::log(ran_ms / expected.median_ms),
                                         -kMaxDeviation, kMaxDeviation);
     ServerStats& server = servers_[backend];
@@ -84,8 +78,10 @@
   if (expected.confidence < kMinConfidence) {
     return;
   }
-  const double deviation = std::log(ran_ms / expected.median_ms) -
-                           kOverrunDeviations * DeviationOf(expected);
+  const double usual = std::max(
+      expected.p99_ms,
+      expected.median_ms * std::exp(kOverrunDeviations * expected.deviation));
+  const double deviation = std::log(ran_ms / usual);
   if (deviation <= 0) {
     return;
   }
--- a/test/run_time_test.cc
+++ b/test/run_time_test.cc
@@ -295,6 +295,30 @@
   CheckWithin(2500, 5500, got.p90_ms);
 }
 
+// Load: 3% of the runs take 7 times as long, on servers of equal speed.
+TEST(RunTime, TailIsNotTakenForSlowServers) {
+  RunTimes times;
+  SpeedMeter meter(&times);
+  std::mt19937_64 random(5);
+  std::normal_distribution<double> normal;
+  std::uniform_real_distribution<double> uniform;
+  Time now = kStart;
+  int slow = 0;
+  for (int n = 0; n < 6000; ++n) {
+    const BackendId server = ServerNo(n % 100);
+    now += milliseconds(10);
+    const double ran_ms = (uniform(random) < 0.03 ? 7000 : 1000) *
+                          std::exp(0.25 * normal(random));
+    if (ran_ms > 3000) {
+      meter.OnRunning(server, times.Expect(ClassOf("q"), 1000, now), 3000, now);
+      slow += n > 1000 && meter.IsSlow(server, now) ? 1 : 0;
+    }
+    meter.OnDone(ClassOf("q"), server, 1000, ran_ms, now);
+    slow += n > 1000 && meter.IsSlow(server, now) ? 1 : 0;
+  }
+  CHECK(slow < 25);
+}
+
 // Load: gangs, whose run time is that of their slowest member.
 TEST(RunTime, WideGangsAreExpectedToTakeLonger) {
   Runs runs;
