Feature: [Placer] Placement by the speed of the kinds of servers

Only servers 1.8 times slower than usual counted; a gang ends with its slowest member, so nearly every gang took twice its time.

Change: servers get a lag by their lasting relative speed (SpeedMeter). Gangs and urgent steps prefer servers without lag, patient ones those with it, also when the advice service is asked. Placement still takes any server with room.

--- a/src/advice.cc
+++ b/src/advice.cc
@@ -150,8 +150,8 @@
     const auto key = [&](uint32_t n) {
       const AdviceCandidate& it = candidates[n];
       const auto free = static_cast<int64_t>(it.free_millicores);
-      return std::make_tuple(it.free_slots == 0, !it.admitted_before,
-                             need.gang ? -free : free, n);
+      return std::make_tuple(it.free_slots == 0, it.unwanted_speed,
+                             !it.admitted_before, need.gang ? -free : free, n);
     };
     return key(a) < key(b);
   });
--- a/src/advice_func.h
+++ b/src/advice_func.h
@@ -17,6 +17,7 @@
   uint64_t free_millicores = 0;
   bool has_ticket = false;       ///< Its ticket stays valid long enough.
   bool admitted_before = false;  ///< Had a ticket; expected to get one again.
+  uint32_t unwanted_speed = 0;   ///< See UnwantedSpeed.
 
   bool operator==(const AdviceCandidate&) const = default;
 };
--- a/src/cell_advice.cc
+++ b/src/cell_advice.cc
@@ -80,7 +80,8 @@
                           SlotsIn(server, server.total, need),
                           server.free.millicores,
                           tickets[n] == TicketState::kValidTicket,
-                          tickets[n] != TicketState::kUnknown});
+                          tickets[n] != TicketState::kUnknown,
+                          UnwantedSpeed(need.speed, server.lag)});
     indices.push_back(n);
   }
   const double share =
@@ -217,7 +218,7 @@
         }
         const StepRef ref{job.id, occurrence.first, n};
         const StepNeed need =
-            NeedOf(job.spec.steps[n], step, job.spec.steps[n].count, now);
+            NeedOf(job, ref, step, job.spec.steps[n].count, now);
         FillCandidates(&pass, job, ref, step);
         QueryAdvice(&pass, &job, ref, &step, need, true);
       }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -262,6 +262,7 @@
     uint32_t pass_index = 0xffffffff;  ///< Index in the current pass.
     Time avoid_until = kNever;  ///< Gets no work before; it failed tasks.
     bool slow = false;          ///< Several times slower than others.
+    uint32_t lag = 0;           ///< Of its kind of machine, see LagOf.
   };
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
@@ -528,7 +529,8 @@
 
   // cell_room.cc: free and reserved resources of the servers.
   Resources OccupiedResources(const StepSpec& spec) const;
-  StepNeed NeedOf(const StepSpec& spec,
+  StepNeed NeedOf(const Job& job,
+                  const StepRef& ref,
                   const Step& step,
                   uint32_t count,
                   Time now) const;
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -92,6 +92,13 @@
 }
 
 void Cell::CheckSpeed(Server* server, Time now) {
+  const double speed = speed_meter_.RelativeSpeed(server->entry.id, now);
+  if (const uint32_t lag = LagOf(speed); lag != server->lag) {
+    server->lag = lag;
+    LogEvent(
+        Part::kPlacer, "backend_lag",
+        {{"backend", server->entry.id.value}, {"speed", speed}, {"lag", lag}});
+  }
   const bool slow = speed_meter_.IsSlow(server->entry.id, now);
   if (slow != server->slow) {
     server->slow = slow;
@@ -253,8 +260,8 @@
                                           : "other gang members still live";
     return PlaceResult::kUnplaced;
   }
-  StepNeed need =
-      NeedOf(spec, *step, static_cast<uint32_t>(waiting.size()), pass->now);
+  StepNeed need = NeedOf(*job, ref, *step,
+                         static_cast<uint32_t>(waiting.size()), pass->now);
   const uint32_t allowed = QuotaSlots(*job, spec.need);
   if (allowed == 0 || (spec.gang && allowed < need.count)) {
     step->wait_reason = "account quota used up";
--- a/src/cell_room.cc
+++ b/src/cell_room.cc
@@ -121,6 +121,7 @@
     candidate.free = FreeFor(*pass, n, task_ms);
     candidate.rack = server.rack;
     candidate.slow = server.slow;
+    candidate.lag = server.lag;
     if (!step_tasks.empty()) {
       const auto it = step_tasks.find(server.entry.id);
       candidate.step_tasks = it == step_tasks.end() ? 0 : it->second;
@@ -166,11 +167,17 @@
 
 /// @return Requirements of the step's waiting tasks. Rack preferences are
 /// dropped once the step has waited about as long as the slowdown would cost.
-StepNeed Cell::NeedOf(const StepSpec& spec,
+StepNeed Cell::NeedOf(const Job& job,
+                      const StepRef& ref,
                       const Step& step,
                       uint32_t count,
                       Time now) const {
+  const StepSpec& spec = job.spec.steps[ref.step];
   StepNeed out;
+  if (!spec.perpetual && !spec.best_effort) {
+    const WaitingStep rank = RankOf(job, ref, step, now);
+    out.speed = SpeedWishOf(spec.gang, rank.remaining_ms, rank.objective_in_ms);
+  }
   out.avoid_slow = now - step.waiting_since < kMaxWaitForFastServer;
   out.task = OccupiedResources(spec);
   out.count = count;
--- a/src/fit.cc
+++ b/src/fit.cc
@@ -1,6 +1,7 @@
 #include "fit_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <numeric>
@@ -13,11 +14,19 @@
   return need == 0 ? std::numeric_limits<uint32_t>::max() : room / need;
 }
 
+/// Steps of LagOf for a factor of two. The first begins at a speed of 0.79.
+constexpr double kLagsPerOctave = 1.5;
+constexpr uint32_t kMaxLag = 8;
+/// A step with this multiple of its critical path left is patient: it meets its
+/// objective on a server of half the usual speed, also after some waiting.
+constexpr int64_t kPatientFactor = 3;
+
 /// Sort key of servers for a step, the preferred server first.
 struct Preference {
   bool slow = false;
   uint32_t penalty = 0;
   uint32_t far_from_data = 0;  ///< 0 or 1.
+  uint32_t unwanted_speed = 0;
   uint64_t rank = 0;
 
   auto operator<=>(const Preference&) const = default;
@@ -31,7 +40,8 @@
                  std::min<uint64_t>(server.free.millicores,
                                     std::numeric_limits<uint32_t>::max()))
           : server.free.millicores;
-  return {server.slow, server.penalty, server.near_data ? 0U : 1U, rank};
+  return {server.slow, server.penalty, server.near_data ? 0U : 1U,
+          UnwantedSpeed(need.speed, server.lag), rank};
 }
 
 /// @return Servers with room for at least one task, the preferred first.
@@ -143,6 +153,25 @@
 
 }  // namespace
 
+uint32_t LagOf(double speed) {
+  const double lag = speed > 0 ? -kLagsPerOctave * std::log2(speed) : kMaxLag;
+  return static_cast<uint32_t>(
+      std::lround(std::clamp<double>(lag, 0, kMaxLag)));
+}
+
+SpeedWish SpeedWishOf(bool gang,
+                      int64_t remaining_ms,
+                      int64_t objective_in_ms) {
+  const bool patient = objective_in_ms > kPatientFactor * remaining_ms;
+  return gang || !patient ? SpeedWish::kFast : SpeedWish::kSlow;
+}
+
+uint32_t UnwantedSpeed(SpeedWish wish, uint32_t lag) {
+  return wish == SpeedWish::kFast   ? lag
+         : wish == SpeedWish::kSlow ? kMaxLag - std::min(lag, kMaxLag)
+                                    : 0;
+}
+
 bool MayUse(const ServerCandidate& server, const StepNeed& need) {
   return server.usable && (!need.near_only || server.near_data) &&
          (!need.avoid_slow || !server.slow);
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -22,10 +22,30 @@
   bool usable = true;  ///< Reachable, not draining, admitted by a valid ticket.
   bool near_data = true;  ///< In the rack that holds the step's data.
   bool slow = false;      ///< Currently much slower than the others.
+  uint32_t lag = 0;       ///< How slow its kind of machine is, see LagOf.
 
   bool operator==(const ServerCandidate&) const = default;
 };
 
+/// Kind of server that a step prefers among those that it may use.
+enum class SpeedWish : uint8_t {
+  kAny,
+  kFast,  ///< For gangs, which end with their slowest member, and urgent steps.
+  kSlow,  ///< For patient steps, which leave the fast servers to others.
+};
+
+/// @return Lag of a server: 0 for usual and fast ones, 1 more for each factor
+/// of about 1.6. @param speed Relative to the fleet; 1: usual.
+uint32_t LagOf(double speed);
+
+/// @return Kind of server for a step that does not last.
+/// @param remaining_ms Critical path of the unfinished work.
+/// @param objective_in_ms Time left to the latency objective.
+SpeedWish SpeedWishOf(bool gang, int64_t remaining_ms, int64_t objective_in_ms);
+
+/// @return Sort key of servers by speed, the preferred first.
+uint32_t UnwantedSpeed(SpeedWish wish, uint32_t lag);
+
 /// Resources and placement constraints of a step.
 struct StepNeed {
   Resources task;           ///< Resources of one task.
@@ -35,6 +55,7 @@
   bool near_only = false;   ///< Uses only servers with `near_data`.
   bool spread = false;      ///< Spreads tasks over servers, not packed.
   bool avoid_slow = false;  ///< Uses no server marked `slow`.
+  SpeedWish speed = SpeedWish::kAny;
   uint32_t per_server = 0;  ///< Maximum on one server; 0: no limit.
 
   bool operator==(const StepNeed&) const = default;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -270,6 +270,38 @@
   CHECK_EQUAL(1U, FitStep(servers, Need(1, 1)).front());
 }
 
+// Load: a quarter of the servers has 0.55 of the speed, the others 1.2.
+TEST(Fit, GangsGoToAlikeFastServersAndPatientTasksToSlowOnes) {
+  const double speeds[] = {0.55, 1.2, 1.2, 0.55};
+  auto servers = Servers({2, 8, 8, 2});
+  for (size_t n = 0; n < servers.size(); ++n) {
+    servers[n].lag = LagOf(speeds[n]);
+  }
+  StepNeed gang = Need(2, 6);
+  gang.gang = true;
+  CHECK_EQUAL(0U, FitStep(servers, gang).front());  // Packed, if not asked.
+  gang.speed = SpeedWishOf(true, 5000, 100'000);
+  for (uint32_t it : FitStep(servers, gang)) {
+    CHECK(it == 1 || it == 2);
+  }
+  gang.count = 9;  // Without room on the fast ones it starts all the same.
+  CHECK(FitStep(servers, gang).back() != kNoServer);
+  StepNeed task = Need(1, 1);
+  task.speed = SpeedWishOf(false, 700, 1'300);
+  CHECK_EQUAL(1, FitStep(servers, task).front());
+  task.speed = SpeedWishOf(false, 2300, 12'000);
+  CHECK_EQUAL(0, FitStep(servers, task).front());
+}
+
+// Errors of the measured speeds must not undo the packing of equal servers.
+TEST(Fit, ServersOfNearlyUsualSpeedAreAlike) {
+  for (double speed : {0.85, 1.0, 1.2, 3.0}) {
+    CHECK_EQUAL(0U, LagOf(speed));
+  }
+  CHECK_EQUAL(1U, LagOf(0.55));
+  CHECK(LagOf(0.25) > LagOf(0.55));
+}
+
 TEST(Fit, TasksThatLastAreSpread) {
   const auto servers = Servers({8, 8, 8});
   StepNeed need = Need(1, 3);
