--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -262,7 +262,7 @@
     uint32_t pass_index = 0xffffffff;  ///< Index in the current pass.
     Time avoid_until = kNever;  ///< Gets no work before; it failed tasks.
     bool slow = false;          ///< Several times slower than others.
-    uint32_t lag = 0;           ///< Of its kind of machine, see LagOf.
+    uint32_t lag = kUsualLag;   ///< Of its kind of machine, see LagOf.
   };
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -93,7 +93,7 @@
 
 void Cell::CheckSpeed(Server* server, Time now) {
   const double speed = speed_meter_.RelativeSpeed(server->entry.id, now);
-  if (const uint32_t lag = LagOf(speed); lag != server->lag) {
+  if (const uint32_t lag = LagOf(speed, server->lag); lag != server->lag) {
     server->lag = lag;
     LogEvent(
         Part::kPlacer, "backend_lag",
--- a/src/fit.cc
+++ b/src/fit.cc
@@ -14,9 +14,10 @@
   return need == 0 ? std::numeric_limits<uint32_t>::max() : room / need;
 }
 
-/// Steps of LagOf for a factor of two. The first begins at a speed of 0.79.
-constexpr double kLagsPerOctave = 1.5;
-constexpr uint32_t kMaxLag = 8;
+constexpr uint32_t kMaxLag = 2 * kUsualLag;
+/// A server keeps its lag up to this many factors of two from the lag's middle:
+/// measured speeds vary with the tasks that ran.
+constexpr double kKeptOctaves = 0.65;
 /// A step with this multiple of its critical path left is patient: it meets its
 /// objective on a server of half the usual speed, also after some waiting.
 constexpr int64_t kPatientFactor = 3;
@@ -153,10 +154,12 @@
 
 }  // namespace
 
-uint32_t LagOf(double speed) {
-  const double lag = speed > 0 ? -kLagsPerOctave * std::log2(speed) : kMaxLag;
-  return static_cast<uint32_t>(
-      std::lround(std::clamp<double>(lag, 0, kMaxLag)));
+uint32_t LagOf(double speed, uint32_t last) {
+  const double lag = std::clamp<double>(
+      speed > 0 ? kUsualLag - std::log2(speed) : kMaxLag, 0, kMaxLag);
+  return std::abs(lag - last) <= kKeptOctaves
+             ? last
+             : static_cast<uint32_t>(std::lround(lag));
 }
 
 SpeedWish SpeedWishOf(bool gang,
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -11,6 +11,9 @@
 
 namespace bw {
 
+/// Lag of a server of usual speed.
+inline constexpr uint32_t kUsualLag = 4;
+
 /// State of one backend server, as input of the placement.
 struct ServerCandidate {
   Resources total;
@@ -20,9 +23,9 @@
   uint32_t step_tasks = 0;  ///< Tasks of the same step that run on it.
   uint32_t penalty = 0;     ///< Recent failures on it; 0: none.
   bool usable = true;  ///< Reachable, not draining, admitted by a valid ticket.
-  bool near_data = true;  ///< In the rack that holds the step's data.
-  bool slow = false;      ///< Currently much slower than the others.
-  uint32_t lag = 0;       ///< How slow its kind of machine is, see LagOf.
+  bool near_data = true;     ///< In the rack that holds the step's data.
+  bool slow = false;         ///< Currently much slower than the others.
+  uint32_t lag = kUsualLag;  ///< Of its kind of machine, see LagOf.
 
   bool operator==(const ServerCandidate&) const = default;
 };
@@ -34,9 +37,11 @@
   kSlow,  ///< For patient steps, which leave the fast servers to others.
 };
 
-/// @return Lag of a server: 0 for usual and fast ones, 1 more for each factor
-/// of about 1.6. @param speed Relative to the fleet; 1: usual.
-uint32_t LagOf(double speed);
+/// @return Lag of a server: kUsualLag, one more for each factor of two that it
+/// is slower and one less for each that it is faster.
+/// @param speed Relative to the fleet; 1: usual.
+/// @param last Its lag so far, kept while `speed` is near the limit.
+uint32_t LagOf(double speed, uint32_t last);
 
 /// @return Kind of server for a step that does not last.
 /// @param remaining_ms Critical path of the unfinished work.
