--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -268,6 +268,7 @@
     Time avoid_until = kNever;  ///< Gets no work before; it failed tasks.
     bool slow = false;          ///< Several times slower than others.
     Time cold_until = kNever;   ///< Slow until then, as it has just started.
+    uint32_t lag = kUsualLag;   ///< Of its kind of machine, see LagOf.
   };
   enum class TaskPhase : uint8_t { kWaiting, kLive, kDone };
   struct Task {
@@ -548,7 +549,8 @@
 
   // cell_room.cc: free and reserved resources of the servers.
   Resources OccupiedResources(const StepSpec& spec) const;
-  StepNeed NeedOf(const StepSpec& spec,
+  StepNeed NeedOf(const Job& job,
+                  const StepRef& ref,
                   const Step& step,
                   uint32_t count,
                   Time now) const;
--- a/src/fit_func.h
+++ b/src/fit_func.h
@@ -11,6 +11,9 @@
 
 namespace bw {
 
+/// Lag of a server of usual speed.
+inline constexpr uint32_t kUsualLag = 4;
+
 /// State of one backend server, as input of the placement.
 struct ServerCandidate {
   Resources total;
@@ -20,12 +23,34 @@
   uint32_t step_tasks = 0;  ///< Tasks of the same step that run on it.
   uint32_t penalty = 0;     ///< Recent failures on it; 0: none.
   bool usable = true;  ///< Reachable, not draining, admitted by a valid ticket.
-  bool near_data = true;  ///< In the rack that holds the step's data.
-  bool slow = false;      ///< Currently much slower than the others.
+  bool near_data = true;     ///< In the rack that holds the step's data.
+  bool slow = false;         ///< Currently much slower than the others.
+  uint32_t lag = kUsualLag;  ///< Of its kind of machine, see LagOf.
 
   bool operator==(const ServerCandidate&) const = default;
 };
 
+/// Kind of server that a step prefers among those that it may use.
+enum class SpeedWish : uint8_t {
+  kAny,
+  kFast,  ///< For gangs, which end with their slowest member, and urgent steps.
+  kSlow,  ///< For patient steps, which leave the fast servers to others.
+};
+
+/// @return Lag of a server: kUsualLag, one more for each factor of two that it
+/// is slower and one less for each that it is faster.
+/// @param speed Relative to the fleet; 1: usual.
+/// @param last Its lag so far, kept while `speed` is near the limit.
+uint32_t LagOf(double speed, uint32_t last);
+
+/// @return Kind of server for a step that does not last.
+/// @param remaining_ms Critical path of the unfinished work.
+/// @param objective_in_ms Time left to the latency objective.
+SpeedWish SpeedWishOf(bool gang, int64_t remaining_ms, int64_t objective_in_ms);
+
+/// @return Sort key of servers by speed, the preferred first.
+uint32_t UnwantedSpeed(SpeedWish wish, uint32_t lag);
+
 /// Resources and placement constraints of a step.
 struct StepNeed {
   Resources task;           ///< Resources of one task.
@@ -35,6 +60,7 @@
   bool near_only = false;   ///< Uses only servers with `near_data`.
   bool spread = false;      ///< Spreads tasks over servers, not packed.
   bool avoid_slow = false;  ///< Uses no server marked `slow`.
+  SpeedWish speed = SpeedWish::kAny;
   uint32_t per_server = 0;  ///< Maximum on one server; 0: no limit.
 
   bool operator==(const StepNeed&) const = default;
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -343,6 +343,42 @@
   CHECK_EQUAL(1U, FitStep(servers, Need(1, 1)).front());
 }
 
+// Load: tasks take 0.55 of the time on a quarter of the servers, 1.2 on others.
+TEST(Fit, GangsGoToAlikeFastServersAndPatientTasksToSlowOnes) {
+  const double speeds[] = {0.83, 1.82, 1.82, 0.83};
+  auto servers = Servers({2, 8, 8, 2});
+  for (size_t n = 0; n < servers.size(); ++n) {
+    servers[n].lag = LagOf(speeds[n], kUsualLag);
+  }
+  StepNeed gang = Need(2, 6);
+  gang.gang = true;
+  CHECK_EQUAL(0U, FitStep(servers, gang).front());  // Packed, if not asked.
+  gang.speed = SpeedWishOf(true, 5000, 100'000);
+  for (uint32_t it : FitStep(servers, gang)) {
+    CHECK(it == 1 || it == 2);
+  }
+  gang.count = 9;  // Without room on the fast ones it starts all the same.
+  CHECK(FitStep(servers, gang).back() != kNoServer);
+  StepNeed task = Need(1, 1);
+  task.speed = SpeedWishOf(false, 700, 1'300);
+  CHECK_EQUAL(1U, FitStep(servers, task).front());
+  task.speed = SpeedWishOf(false, 2300, 12'000);
+  CHECK_EQUAL(0U, FitStep(servers, task).front());
+}
+
+// Errors of the measured speeds must not undo the packing of equal servers, nor
+// move a server to and fro.
+TEST(Fit, ServersOfNearlyUsualSpeedAreAlike) {
+  for (double speed : {0.7, 0.85, 1.0, 1.2, 1.4}) {
+    CHECK_EQUAL(kUsualLag, LagOf(speed, kUsualLag));
+  }
+  CHECK_EQUAL(kUsualLag - 1, LagOf(1.8, kUsualLag));
+  CHECK_EQUAL(kUsualLag - 1, LagOf(1.5, kUsualLag - 1));
+  CHECK_EQUAL(kUsualLag, LagOf(1.1, kUsualLag - 1));
+  CHECK_EQUAL(kUsualLag + 1, LagOf(0.55, kUsualLag));
+  CHECK(LagOf(0.2, kUsualLag) > LagOf(0.55, kUsualLag));
+}
+
 TEST(Fit, TasksThatLastAreSpread) {
   const auto servers = Servers({8, 8, 8});
   StepNeed need = Need(1, 3);
