--- a/src/cell_evacuate.cc
+++ b/src/cell_evacuate.cc
@@ -99,7 +99,7 @@
   if (job.policy.advice) {
     LimitToTickets(pass, step, pass->now + ticket_margin_.ForPlacing());
   }
-  const StepNeed need = NeedOf(job.spec.steps[ref.step], step, 1, pass->now);
+  const StepNeed need = NeedOf(job, ref, step, 1, pass->now);
   const auto fit = FitStep(pass->candidates, need);
   if (fit.empty() || fit[0] == kNoServer) {
     return false;
