Fix: [Setting] A placeholder that was not filled in kept an instance from starting (FAULT)

Ruled out: the one executable (it starts and names the two settings). Change: such a value counts as empty, which selects the default; a required setting stays an error. Setting.PlaceholderThatWasNotFilledInSelectsTheDefault failed before (1 error, 0 expected) and passes now; Setting.*: 5 of 5.

--- a/src/setting.cc
+++ b/src/setting.cc
@@ -93,8 +93,14 @@
   return nullptr;
 }
 
+/// @return True for a placeholder of a template that was not filled in, as by a
+/// platform that does not have the field.
+bool IsPlaceholder(const std::string& value) {
+  return value.starts_with("{{") && value.ends_with("}}");
+}
+
 /// Reads the file into `values`. Reports an unreadable file and unknown or
-/// duplicate settings in `errors`.
+/// duplicate settings in `errors`. A placeholder counts as an empty value.
 void ReadFile(const std::string& file,
               std::span<const SettingDesc> table,
               Values* values,
@@ -119,7 +125,8 @@
         errors->push_back({file, section.pItem, key.pItem,
                            "setting is specified more than once"});
       } else {
-        (*values)[name] = Trim(all.begin()->pItem);
+        const std::string value = Trim(all.begin()->pItem);
+        (*values)[name] = IsPlaceholder(value) ? std::string() : value;
       }
     }
   }
--- a/test/setting_test.cc
+++ b/test/setting_test.cc
@@ -59,6 +59,19 @@
   LONGS_EQUAL(0, ErrorsOf(kGood, {"gate.max_open=7"}).size());
 }
 
+// An instance did not start under a platform that lacks a field of the
+// template.
+TEST(Setting, PlaceholderThatWasNotFilledInSelectsTheDefault) {
+  LONGS_EQUAL(0, ErrorsOf(std::string(kGood) +
+                          "[gate]\nmax_open = {{limits.maxOpen}}\n")
+                     .size());
+  // A required setting has no default.
+  LONGS_EQUAL(1, ErrorsOf("[instance]\nname={{nodeName}}\nzone=a\n[platform]\n"
+                          "log=http://127.0.0.1:1\n[gate]\nlisten=127.0.0.1:2\n"
+                          "[status]\nlisten=127.0.0.1:3\n")
+                     .size());
+}
+
 TEST(Setting, HelpDescribesEverySetting) {
   const std::string help = SettingsHelp(table::kPlacerSettings);
   for (const auto& it : table::kPlacerSettings) {
