Fix: [Net] Requests that had ended went on counting while their connection was open

Found by the review of the change: the parser is reset before a read returns, so the head of each request on a kept connection was added to its use and never taken off. Busy ordinary callers would have been closed first (by reading: 64 MB after some 130,000 requests). Change: the parser's own count of the unfinished head; nothing between two requests. A refusal for want of room also waits for its turn behind earlier requests of the connection (no test of its own). CallerBudget.AConnectionThatServesOnHoldsNothingBetweenRequests failed before (use not 0 until the connection had ended) and passes; CallerBudget.*: 7 of 7.

--- a/src/net/caller_parser.h
+++ b/src/net/caller_parser.h
@@ -14,6 +14,7 @@
 /// callbacks while a socket hands bytes to it.
 struct ParserLink {
   const http_parser* parser = nullptr;
+  bool has_begun = false;  ///< A request began in this read.
 };
 // NOLINTNEXTLINE(cppcoreguidelines-avoid-non-const-global-variables)
 inline thread_local ParserLink* reading_link = nullptr;
@@ -42,6 +43,7 @@
   out.on_message_begin = [](http_parser* parser) -> int {
     if (bw::net::reading_link != nullptr) {
       bw::net::reading_link->parser = parser;
+      bw::net::reading_link->has_begun = true;
     }
     return 0;
   };
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -292,8 +292,9 @@
   /// Hands bytes to the library by calling `parse`, then counts what the
   /// request uses. @pre The connection outlives the call.
   template <typename Parse>
-  void Read(size_t length, const Parse& parse) {
+  void Read(const Parse& parse) {
     reading_link = &link_;
+    link_.has_begun = false;
     parse();
     reading_link = nullptr;
     if (link_.parser == nullptr) {
@@ -307,10 +308,16 @@
       return;
     }
     if (!context->m_leading_headers_completed) {
-      head_bytes_ += length;
-      // Most requests arrive whole.
-    } else if (IsTooLarge(*context)) {
-      Refuse();
+      head_bytes_ = link_.parser->nread;
+      if (head_bytes_ == 0) {
+        SetUsed(0);  // Between two requests.
+        return;
+      }
+    } else {
+      head_bytes_ = link_.has_begun ? 0 : head_bytes_;
+      if (IsTooLarge(*context)) {
+        Refuse();
+      }
     }
     SetUsed(head_bytes_ + UsedBy(*context));
   }
@@ -408,7 +415,7 @@
                   handler(asio::error::connection_reset, 0);
                 }
               } else {
-                intake_->Read(length, [&] { handler(ec, length); });
+                intake_->Read([&] { handler(ec, length); });
               }
             }));
   }
@@ -508,7 +515,8 @@
         std::make_shared<OpenCall>(calls, std::move(handle), bytes);
     if (!has_room) {
       calls->Budget()->CountRefused();
-      call->Respond(MakeNoRoomResponse());
+      calls->HandleInTurn(peer,
+                          [call] { call->Respond(MakeNoRoomResponse()); });
       return restinio::request_accepted();
     }
     calls->HandleInTurn(peer, [handler, call, request = std::move(request)] {
--- a/test/caller_budget_test.cc
+++ b/test/caller_budget_test.cc
@@ -118,6 +118,23 @@
   CHECK(Eventually([&] { return server.Budget().Used() == 0; }));
 }
 
+// Requests that had ended went on counting while their connection was open.
+TEST(CallerBudget, AConnectionThatServesOnHoldsNothingBetweenRequests) {
+  const Server server;
+  RawConnection connection;
+  connection.Open(server.Address());
+  constexpr int kRequests = 2000;
+  for (int n = 0; n < kRequests; ++n) {
+    CHECK(connection.Send(WithLength(5, 5)));
+    LONGS_EQUAL(200, StatusOf(&connection));
+  }
+  CHECK(Eventually([&] { return server.Budget().Used() == 0; }));
+  LONGS_EQUAL(0, server.Budget().Count().closed);
+  // It is still open.
+  CHECK(connection.Send(WithLength(5, 5)));
+  LONGS_EQUAL(200, StatusOf(&connection));
+}
+
 TEST(CallerBudget, ABodyOverTheLimitIsRefusedWhileItIsRead) {
   const Server server;
   // Announced, and just sent.
