Fix: [Placer] Patient steps preferred servers in trouble; steps of unknown run time counted as patient

Found by the review of placement by speed: among slow servers the slowest came first, also those many times slower. A step that states no run time preferred slow servers until it was late. Fit.PatientStepsAvoidServersThatAreFarTooSlow and Fit.StepsOfUnknownRunTimeDoNotPreferSlowServers failed before and pass; Fit.*: 16 of 16.

--- a/src/fit.cc
+++ b/src/fit.cc
@@ -165,14 +165,19 @@
 SpeedWish SpeedWishOf(bool gang,
                       int64_t remaining_ms,
                       int64_t objective_in_ms) {
+  if (!gang && remaining_ms <= 0) {
+    return SpeedWish::kAny;  // Its run time is not known.
+  }
   const bool patient = objective_in_ms > kPatientFactor * remaining_ms;
   return gang || !patient ? SpeedWish::kFast : SpeedWish::kSlow;
 }
 
 uint32_t UnwantedSpeed(SpeedWish wish, uint32_t lag) {
-  return wish == SpeedWish::kFast   ? lag
-         : wish == SpeedWish::kSlow ? kMaxLag - std::min(lag, kMaxLag)
-                                    : 0;
+  if (wish == SpeedWish::kSlow) {
+    // Patience covers a factor of two. Servers beyond it are in trouble.
+    return lag > kUsualLag + 1 ? kMaxLag + lag : kMaxLag - lag;
+  }
+  return wish == SpeedWish::kFast ? lag : 0;
 }
 
 bool MayUse(const ServerCandidate& server, const StepNeed& need) {
--- a/test/decision_test.cc
+++ b/test/decision_test.cc
@@ -368,6 +368,31 @@
 
 // Errors of the measured speeds must not undo the packing of equal servers, nor
 // move a server to and fro.
+// Patient steps preferred the servers that are in trouble.
+TEST(Fit, PatientStepsAvoidServersThatAreFarTooSlow) {
+  std::vector<ServerCandidate> servers(3);
+  const uint32_t lags[] = {kUsualLag + 3, kUsualLag + 1, kUsualLag};
+  for (size_t n = 0; n < servers.size(); ++n) {
+    servers[n].free = {8000, 8000, 0};
+    servers[n].usable = true;
+    servers[n].lag = lags[n];
+  }
+  StepNeed need;
+  need.task = {1000, 100, 0};
+  need.count = 1;
+  need.speed = SpeedWishOf(false, 2300, 12'000);
+  LONGS_EQUAL(1, FitStep(servers, need)[0]);
+  servers[1].usable = false;
+  LONGS_EQUAL(2, FitStep(servers, need)[0]);
+}
+
+// A step that states no run time counted as patient until it was late.
+TEST(Fit, StepsOfUnknownRunTimeDoNotPreferSlowServers) {
+  CHECK(SpeedWishOf(false, 0, 3'000) == SpeedWish::kAny);
+  CHECK(SpeedWishOf(false, 0, -1) == SpeedWish::kAny);
+  CHECK(SpeedWishOf(true, 0, 3'000) == SpeedWish::kFast);
+}
+
 TEST(Fit, ServersOfNearlyUsualSpeedAreAlike) {
   for (double speed : {0.7, 0.85, 1.0, 1.2, 1.4}) {
     CHECK_EQUAL(kUsualLag, LagOf(speed, kUsualLag));
