Fix: [RunTime] Each further member's end counted a finished gang once more

Found by the review: the first member's end completes the gang, those of the others entered its bins again, so gangs were expected to take longer. A hazard stays within 0 and 1.

--- a/src/cell_run_time.cc
+++ b/src/cell_run_time.cc
@@ -85,9 +85,15 @@
   const RunClass run_class = RunClassOf(*job, spec);
   const auto stated_ms = static_cast<double>(spec.stated_ms);
   const bool done = end.end == RunEnd::kDone;
-  if (spec.gang && done && task->phase == TaskPhase::kLive) {
+  // The first end of a gang's member completes the whole gang.
+  const bool counts =
+      task->phase == TaskPhase::kLive && task->run == end.run.number;
+  if (spec.gang && !counts) {
+    return;
+  }
+  if (spec.gang && done) {
     run_times_.OnEnd(run_class, stated_ms, ran_ms, now, step->progress);
-  } else if (spec.gang && task->run == end.run.number) {
+  } else if (spec.gang) {
     run_times_.OnRunning(run_class, stated_ms, ran_ms, &step->progress, now);
   } else if (!spec.gang && done) {
     speed_meter_.OnDone(run_class, server->entry.id, stated_ms, ran_ms, now,
@@ -118,7 +124,7 @@
   const RunClass run_class = RunClassOf(*job, spec);
   const auto stated_ms = static_cast<double>(spec.stated_ms);
   if (spec.gang) {
-    if (task->run == run.number) {
+    if (task->run == run.number && task->phase == TaskPhase::kLive) {
       run_times_.OnRunning(run_class, stated_ms, ran_ms, &step->progress, now);
     }
     return;
--- a/src/run_time.cc
+++ b/src/run_time.cc
@@ -249,7 +249,9 @@
     left *= 1 - hazard;
     const double entered = fade * node.entered.at(n);
     if (entered + prior > 0) {
-      hazard = (fade * node.ended.at(n) + prior * hazard) / (entered + prior);
+      hazard = std::clamp(
+          (fade * node.ended.at(n) + prior * hazard) / (entered + prior), 0.0,
+          1.0);
     }
   }
   const double own = fade * node.ends / (fade * node.ends + kParentRuns);
