--- a/review/stand-2/platform.pl
+++ b/review/stand-2/platform.pl
@@ -6,12 +6,13 @@
 #
 # The store listens on 127.0.0.1:PORT, runner N on PORT+1+N. Options:
 #   cpu=MILLICORES  stop_ms=N  hold_max_ms=N  gang_ms=N  save_ms=N
-#   record_bytes=N  call_bytes=N
+#   record_bytes=N  call_bytes=N  racks=N
 #
 # POST /control on the store's port:
 #   {"config":{...}}            the operator writes op/config
 #   {"runner":N,"cut":true}     calls to the runner get no answer
 #   {"runner":N,"crash":true}   the runner loses all and starts again at once
+#   {"runner":N,"gone":true}    the runner crashes and is lost for good
 # GET /truth: all runs that the runners began, in order, and how they ended.
 # GET /too_large: how many appends were beyond the limits of the store.
 #
@@ -32,7 +33,7 @@
 my ($port, $count, @options) = @ARGV;
 my %opt = (
   cpu => 8000, stop_ms => 400, hold_max_ms => 10000, gang_ms => 3000,
-  save_ms => 500, record_bytes => 262144, call_bytes => 2097152);
+  save_ms => 500, record_bytes => 262144, call_bytes => 2097152, racks => 1);
 for (@options) { my ($k, $v) = split /=/; $opt{$k} = $v; }
 my $json = JSON::PP->new->utf8->canonical;
 
@@ -305,6 +306,19 @@
   @$r{qw(running ended barred polls)} = ({}, [], {}, []);
 }
 
+# A crash ends all that runs, and nothing lists it.
+sub end_all {
+  my ($r) = @_;
+  for (values %{$r->{running}}) {
+    @{$_->{truth}}{qw(ended_ms how)} = (wall_ms(), 'crashed');
+    if (my $g = gang_of($_)) {
+      delete $g->{present}{$_->{task}};
+      $g->{ended} ||= 'crashed' if $g->{complete};
+    }
+  }
+  $r->{running} = {};
+}
+
 sub clock { return now_ms() - $_[0]{clock0}; }
 
 sub gang_of {
@@ -455,18 +469,22 @@
 
 sub announce {
   for my $r (@runner) {
+    if ($r->{unlist_at} && now_ms() >= $r->{unlist_at}) {
+      delete $r->{unlist_at};
+      put('keyed.servers', $r->{id}, '');
+    }
     next if $r->{cut};
     put('keyed.servers', $r->{id}, $json->encode({
       service => 's', address => $r->{address}, zone => 'a', version => '1',
       slots => 8, state => 'ready', coldLeftMs => 0, sequence => ++$r->{sequence},
-      born => $r->{born}, labels => ['a', 'r1'],
+      born => $r->{born}, labels => ['a', $r->{rack}],
       capacity => {cpu => $opt{cpu} + 0, memMb => 64000, gpu => 0}}));
   }
 }
 
 for my $n (0 .. $count - 1) {
   my $at = $port + 1 + $n;
-  my $r = {id => "b$n", address => "127.0.0.1:$at", cut => 0};
+  my $r = {id => "b$n", address => "127.0.0.1:$at", cut => 0, rack => 'r' . (1 + $n % $opt{racks})};
   new_life($r);
   push @runner, $r;
   listen_on($at, sub {
@@ -502,14 +520,14 @@
       if (defined $in->{runner}) {
         my $r = $runner[$in->{runner}];
         $r->{cut} = $in->{cut} ? 1 : 0 if exists $in->{cut};
+        if ($in->{gone}) {
+          # Its entry goes after three heartbeats of silence.
+          end_all($r);
+          $r->{cut} = 1;
+          $r->{unlist_at} = now_ms() + 3000;
+        }
         if ($in->{crash}) {
-          for (values %{$r->{running}}) {
-            @{$_->{truth}}{qw(ended_ms how)} = (wall_ms(), 'crashed');
-            if (my $g = gang_of($_)) {
-              delete $g->{present}{$_->{task}};
-              $g->{ended} ||= 'crashed' if $g->{complete};
-            }
-          }
+          end_all($r);
           new_life($r);
           announce();
         }
