--- a/review/stand-2/Lab.pm
+++ b/review/stand-2/Lab.pm
@@ -191,21 +191,23 @@
 
 sub control { call($store_port, 'POST', '/control', {@_}) == 200 or cannot('control'); }
 
-# Key "key-t" of tenant "t", routes "h.example/NAME/" with their options.
+# Keys "key-t" and "key-u" of tenants "t" and "u", routes "h.example/NAME/" with
+# their options.
 sub configure {
   my ($version, %routes) = @_;
   control(config => {
     version => $version,
     services => [{name => 's', admissionCheck => JSON::PP::false}],
     limits => {maxBodyBytes => 262144},
-    tenants => [{name => 't', apiKeys => ['key-t'], weight => 1000,
-      maximum => {cpu => 0, memMb => 0, gpu => 0}}],
+    tenants => [map { {name => $_, apiKeys => ["key-$_"], weight => 1000,
+      maximum => {cpu => 0, memMb => 0, gpu => 0}} } qw(t u)],
     routes => [map { {
       name => $_, host => 'h.example', pathPrefix => "/$_/", service => 's',
       priority => 1, maxAttempts => 3, stretch => 4, targetLatencyMs => 3000,
       timeoutMs => 3000, %{$routes{$_}}} } sort keys %routes]});
 }
 
+our $other_headers = "Bilberrywing-Credential: key-u\r\nBilberrywing-Deadline-Ms: 3000\r\n";
 our $client_headers = "Bilberrywing-Credential: key-t\r\nBilberrywing-Deadline-Ms: 3000\r\n";
 
 # A client's call, noted in the record.
