--- a/review/7/case.pl
+++ b/review/7/case.pl
@@ -30,11 +30,8 @@
 my ($relay) = grep { $_ ne $owner } qw(one two three);
 Lab::note("the owner is $owner, the instance that freezes is $relay");
 
-if ($Lab::trouble) {
-  kill 'STOP', $Lab::entry{$relay}{pid};
-  Lab::note("$relay freezes");
-}
 my $began = time;
+Lab::freeze($relay) if $Lab::trouble;
 my $step = {count => RUNNERS, cpu => 4000, memMb => 10, estimateMs => 8000, antiAffinity => 1};
 (Lab::client($owner, 'POST', "/q/$id", {spec => 'ms=8000', steps => [$step]}) // 0) == 200
   or Lab::cannot('not accepted');
@@ -49,10 +46,7 @@
   Lab::note("these runners crash and start again under their ids: @late");
 }
 Lab::sleep_until($began + 3.5);
-if ($Lab::trouble) {
-  kill 'CONT', $Lab::entry{$relay}{pid};
-  Lab::note("$relay wakes");
-}
+Lab::wake($relay) if $Lab::trouble;
 Lab::sleep_until($began + 25);
 Lab::client($owner, 'GET', "/q/$id");
 my $runs = Lab::truth($id);
--- a/review/8/case.pl
+++ b/review/8/case.pl
@@ -24,11 +24,8 @@
 my $socket = Lab::tcp($Lab::entry{$frozen}{front}) or Lab::cannot('no connection');
 Lab::send_call($socket, 'GET', '/q/', undef, $Lab::client_headers);
 Lab::read_answer($socket, 3000) or Lab::cannot('no answer');
-if ($Lab::trouble) {
-  kill 'STOP', $Lab::entry{$frozen}{pid};
-  Lab::note("$frozen freezes");
-}
 my $sent = time;
+Lab::freeze($frozen) if $Lab::trouble;
 my @steps = map {
   {count => 1, cpu => 100, memMb => 10, estimateMs => 2000,
     ($_ > 0 ? (dependsOn => [$_ - 1]) : ())}
@@ -36,17 +33,14 @@
 Lab::note("client sends POST /q/$id to $frozen");
 Lab::send_call($socket, 'POST', "/q/$id", {spec => 'ms=2000', steps => \@steps},
   $Lab::client_headers);
-my ($status) = Lab::read_answer($socket, 2900);
+my ($status) = Lab::read_answer($socket, 2950 - 1000 * (time - $sent));
 Lab::note('client gets ' . ($status // 'no answer') . " for POST /q/$id and leaves");
 close $socket;
 my $cancelled = Lab::client($other, 'DELETE', "/q/$id") // 0;
 $cancelled == 200 || $cancelled == 410 or Lab::cannot('the cancelling is not acknowledged');
 my $acknowledged = time;
 Lab::sleep_until($sent + 3.1);
-if ($Lab::trouble) {
-  kill 'CONT', $Lab::entry{$frozen}{pid};
-  Lab::note(sprintf "%s wakes after %.2f s", $frozen, time - $sent);
-}
+Lab::wake($frozen) if $Lab::trouble;
 Lab::sleep_until($acknowledged + 12);
 Lab::client($other, 'GET', "/q/$id");
 Lab::client($owner, 'GET', "/q/$id");
--- a/review/stand-2/Lab.pm
+++ b/review/stand-2/Lab.pm
@@ -52,6 +52,27 @@
   exit $code;
 }
 
+# Stops a process, and waits until all its threads stand.
+sub freeze {
+  my ($name) = @_;
+  my $pid = $entry{$name}{pid};
+  kill 'STOP', $pid;
+  wait_for(1, sub {
+    for my $file (glob "/proc/$pid/task/*/stat") {
+      open my $in, '<', $file or next;
+      return 0 if <$in> !~ /\) T /;
+    }
+    return 1;
+  }) or cannot("$name does not stop");
+  note("$name freezes");
+}
+
+sub wake {
+  my ($name) = @_;
+  kill 'CONT', $entry{$name}{pid};
+  note("$name wakes");
+}
+
 # A range of free ports, from a random place.
 sub free_ports {
   my ($count) = @_;
@@ -84,10 +105,17 @@
 
 sub start_platform {
   my ($runners, @options) = @_;
-  $store_port = free_ports($runners + 1);
-  spawn('platform.log', {}, 'perl', "$root/review/stand-2/platform.pl", $store_port,
-    $runners, @options);
-  wait_for(5, sub { tcp($store_port) }) or cannot('the platform does not start');
+  # Another process may have taken one of the ports since.
+  for (1 .. 5) {
+    $store_port = free_ports($runners + 1);
+    my $pid = spawn('platform.log', {}, 'perl', "$root/review/stand-2/platform.pl",
+      $store_port, $runners, @options);
+    my $ended = 0;
+    wait_for(5, sub { $ended = waitpid($pid, WNOHANG); $ended || tcp($store_port) });
+    return if !$ended && tcp($store_port);
+    if ($ended) { @started = grep { $_ != $pid } @started; }
+  }
+  cannot('the platform does not start');
 }
 
 sub tcp { return IO::Socket::INET->new(PeerAddr => '127.0.0.1', PeerPort => $_[0]); }
@@ -97,7 +125,7 @@
   my $until = time + $seconds;
   while (time < $until) {
     return 1 if $test->();
-    sleep 0.05;
+    sleep 0.02;
   }
   return 0;
 }
--- a/review/stand-2/platform.pl
+++ b/review/stand-2/platform.pl
@@ -10,8 +10,9 @@
 #
 # POST /control on the store's port:
 #   {"config":{...}}            the operator writes op/config
+#   {"entry":ID,"value":TEXT}   another writer puts servers/ID
 #   {"runner":N,"cut":true}     calls to the runner get no answer
-#   {"runner":N,"crash":true}   the runner loses all and starts again at once
+#   {"runner":N,"crash":true}   the runner crashes and starts again under its id
 #   {"runner":N,"gone":true}    the runner crashes and is lost for good
 # GET /truth: all runs that the runners began, in order, and how they ended.
 # GET /too_large: how many appends were beyond the limits of the store.
@@ -401,6 +402,8 @@
 sub runner_call {
   my ($r, $c, $path, $body, $instance) = @_;
   return if $r->{cut};
+  return close_conn($c) if now_ms() < $r->{down_until};
+  $c->{runner} = $r;
   return respond($c, 421, {}) if defined $instance && $instance ne $r->{id};
   my $in = eval { $json->decode($body) } or return respond($c, 400, {});
   if (($in->{fencingToken} // 0) < $r->{fence}) {
@@ -473,7 +476,7 @@
       delete $r->{unlist_at};
       put('keyed.servers', $r->{id}, '');
     }
-    next if $r->{cut};
+    next if $r->{cut} || now_ms() < $r->{down_until};
     put('keyed.servers', $r->{id}, $json->encode({
       service => 's', address => $r->{address}, zone => 'a', version => '1',
       slots => 8, state => 'ready', coldLeftMs => 0, sequence => ++$r->{sequence},
@@ -484,7 +487,7 @@
 
 for my $n (0 .. $count - 1) {
   my $at = $port + 1 + $n;
-  my $r = {id => "b$n", address => "127.0.0.1:$at", cut => 0, rack => 'r' . (1 + $n % $opt{racks})};
+  my $r = {id => "b$n", address => "127.0.0.1:$at", cut => 0, down_until => 0, rack => 'r' . (1 + $n % $opt{racks})};
   new_life($r);
   push @runner, $r;
   listen_on($at, sub {
@@ -517,6 +520,7 @@
       respond($c, 200, {});
     } elsif ($path eq '/control') {
       put('keyed.op', 'config', $json->encode($in->{config})) if $in->{config};
+      put('keyed.servers', $in->{entry}, $in->{value}) if defined $in->{entry};
       if (defined $in->{runner}) {
         my $r = $runner[$in->{runner}];
         $r->{cut} = $in->{cut} ? 1 : 0 if exists $in->{cut};
@@ -527,9 +531,11 @@
           $r->{unlist_at} = now_ms() + 3000;
         }
         if ($in->{crash}) {
+          # Its connections end; it is down for a moment.
           end_all($r);
+          close_conn($_) for grep { ($_->{runner} // 0) == $r } values %conn;
           new_life($r);
-          announce();
+          $r->{down_until} = now_ms() + 300;
         }
       }
       respond($c, 200, {});
