--- a/review/stand-2/Lab.pm
+++ b/review/stand-2/Lab.pm
@@ -18,6 +18,7 @@
 our $json = JSON::PP->new->utf8->canonical;
 our $trouble = ($ENV{TROUBLE} // '1') ne '0';
 our ($folder, $store_port, %entry, @started, $record, $began);
+my $main_pid = $$;
 
 sub begin {
   ($folder) = @_;
@@ -73,6 +74,16 @@
   note("$name wakes");
 }
 
+# A script that dies could not run, and leaves no process behind.
+END {
+  if (@started && $$ == $main_pid) {
+    kill 'CONT', @started;
+    kill 'KILL', @started;
+    remove_tree($Lab::tmp) if $Lab::tmp;
+    $? = 2;
+  }
+}
+
 # A range of free ports, from a random place.
 sub free_ports {
   my ($count) = @_;
