--- a/src/cell.cc
+++ b/src/cell.cc
@@ -22,6 +22,9 @@
 /// refused.
 constexpr milliseconds kStoreTimeout{800};
 
+/// Pause before a record that the store refused is stored again.
+constexpr milliseconds kRefusedRecordPause{1000};
+
 /// Minimum time between two placing passes, as events come in bursts.
 constexpr milliseconds kMinPassInterval{5};
 /// Pause after a pass, as a multiple of its duration: orders and reports need
@@ -97,6 +100,9 @@
 
 void Cell::SetConfig(std::shared_ptr<const CellConfig> config) {
   config_ = std::move(config);
+  for (const auto& it : config_->queues) {
+    services_in_use_.insert(ServiceNumber(it.service));
+  }
   for (auto& it : jobs_) {
     if (const auto* queue = config_->FindQueue(it.second.queue)) {
       it.second.policy = *queue;
@@ -225,7 +231,9 @@
   AddRecords("s:" + id.value, SerializeJob(job), &job.body_parts, &records);
   Job& added = jobs_[id] = std::move(job);
   added.store_request =
-      port_->StoreRecords(std::move(records), [this, id] { OnAccepted(id); });
+      port_->StoreRecords(std::move(records), [this, id](bool stored) {
+        stored ? OnAccepted(id) : OnAcceptanceRefused(id);
+      });
   // Placing need not wait until the job is stored: each start waits for its
   // own record, which is stored after this one.
   OpenJob(&added, now);
@@ -309,6 +317,29 @@
   }
 }
 
+/// The store will never accept the job's record.
+void Cell::OnAcceptanceRefused(const JobId& id) {
+  // If it was cancelled meanwhile, its end is being stored.
+  if (const Job* job = FindJob(id);
+      job != nullptr && job->state == JobState::kActive) {
+    DropUnstored(id, "the store refuses its record");
+  }
+}
+
+/// Refuses a job whose acceptance is not stored.
+void Cell::DropUnstored(const JobId& id, const char* why) {
+  const auto node = jobs_.extract(id);
+  LogEvent(Part::kPlacer, "job_refused",
+           {{"job", id.value},
+            {"why", why},
+            {"waited_ms", AgeMs(node.mapped().accepted, now_)}});
+  RemoveRuns(id);
+  scheduled_jobs_.erase(id);
+  for (const auto& done : node.mapped().waiting_accept) {
+    done(Refuse(CellStatus::kStoreUnavailable, why));
+  }
+}
+
 /// Removes the runs of a refused job. None was sent: a start is sent only after
 /// its own record is stored, which happens after the job's record.
 void Cell::RemoveRuns(const JobId& id) {
@@ -330,26 +361,18 @@
   if (port_->IsStoreResponsive()) {
     return;
   }
-  for (auto it = jobs_.begin(); it != jobs_.end();) {
-    Job& job = it->second;
-    if (job.stored || job.state != JobState::kActive ||
-        now - job.accepted < kStoreTimeout ||
-        !port_->CancelUnsent(job.store_request)) {
-      ++it;
-      continue;
-    }
-    LogEvent(Part::kPlacer, "job_refused",
-             {{"job", it->first.value},
-              {"why", "store unavailable"},
-              {"waited_ms", AgeMs(job.accepted, now)}});
-    auto waiting = std::move(job.waiting_accept);
-    RemoveRuns(it->first);
-    scheduled_jobs_.erase(it->first);
-    it = jobs_.erase(it);
-    for (auto& done : waiting) {
-      done(Refuse(CellStatus::kStoreUnavailable, "store does not answer"));
+  std::vector<JobId> unsent;
+  for (const auto& it : jobs_) {
+    const Job& job = it.second;
+    if (!job.stored && job.state == JobState::kActive &&
+        now - job.accepted >= kStoreTimeout &&
+        port_->CancelUnsent(job.store_request)) {
+      unsent.push_back(it.first);
     }
   }
+  for (const auto& id : unsent) {
+    DropUnstored(id, "store does not answer");
+  }
 }
 
 void Cell::AddOccurrence(Job* job, uint32_t number, Time now) {
@@ -468,7 +491,12 @@
   job->state = state;
   scheduled_jobs_.erase(job->id);
   StopJobRuns(job, now);
+  StoreEnd(job);
+}
+
+void Cell::StoreEnd(Job* job) {
   const JobId id = job->id;
+  const JobState state = job->state;
   const EndedJob ended{job->team, job->queue, state, wall_ms_};
   std::vector<std::string> records;
   AddRecords("p:" + id.value, SerializeProgress(*job), &job->progress_parts,
@@ -476,8 +504,13 @@
   AddRecords("s:" + id.value, "", &job->body_parts, &records);
   changed_jobs_.erase(id);
   job->progress_changed = false;
-  port_->StoreRecords(std::move(records),
-                      [this, id, ended] { OnEndStored(id, ended); });
+  port_->StoreRecords(std::move(records), [this, id, ended](bool stored) {
+    if (stored) {
+      OnEndStored(id, ended);
+    } else {
+      refused_jobs_[id] = now_ + kRefusedRecordPause;
+    }
+  });
 }
 
 void Cell::OnEndStored(const JobId& id, const EndedJob& ended) {
@@ -486,6 +519,7 @@
     return;
   }
   KeepMaybeRunning(node.mapped());
+  refused_jobs_.erase(id);
   ended_[id] = ended;
   LogEvent(Part::kPlacer, "job_ended",
            {{"job", id.value}, {"state", StateName(ended.state)}});
@@ -548,6 +582,7 @@
   now_ = now;
   wall_ms_ = wall_ms;
   RefuseUnstoredJobs(now);
+  RetryRefused(now);
   const std::set<JobId> timed = scheduled_jobs_;  // Changed by the calls.
   for (const auto& id : timed) {
     if (Job* job = FindJob(id); job != nullptr) {
@@ -610,7 +645,7 @@
 std::map<ZoneId, size_t> Cell::CountServersByZone() const {
   std::map<ZoneId, size_t> out;
   for (const auto& it : servers_) {
-    if (it.second.listed) {
+    if (it.second.listed && IsInUse(it.second)) {
       ++out[it.second.entry.zone];
     }
   }
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -103,7 +103,8 @@
     uint64_t advice_busy = 0;  ///< Queries refused as all instances were busy.
   };
   Counts Count() const;
-  /// @return Number of listed backend servers of each availability zone.
+  /// @return Number of listed backend servers of each availability zone that
+  /// belong to a queue's service.
   std::map<ZoneId, size_t> CountServersByZone() const;
 
  private:
@@ -145,9 +146,10 @@
   /// A backend server.
   struct Server {
     BackendEntry entry;
-    bool listed = false;          ///< It has an entry in the store.
-    bool record_stored = false;   ///< Its record is stored; needed to place.
-    bool storing_record = false;  ///< A write of its record is in flight.
+    bool listed = false;           ///< It has an entry in the store.
+    bool record_stored = false;    ///< Its record is stored; needed to place.
+    bool storing_record = false;   ///< A write of its record is in flight.
+    Time next_record_at = kNever;  ///< Its record was refused; next attempt.
     /// Its lists were read to their end by this owner. Reset when a start
     /// fails, its leases lapse or it restarts.
     bool lists_read = false;
@@ -188,6 +190,11 @@
     BackendId failed_on;  ///< Backend server of its last failure.
     std::string checkpoint;
   };
+  /// Further records that hold a value, see AddRecords.
+  struct PartSet {
+    uint64_t number = 0;  ///< Distinguishes the sets of one key.
+    uint32_t count = 0;   ///< 0: the value is in the record of the key.
+  };
   struct TicketInfo {
     std::string text;
     Time until = kNever;
@@ -242,8 +249,8 @@
     /// progress.
     bool started = false;
     bool progress_changed = false;  ///< Its progress has to be stored.
-    uint32_t body_parts = 0;        ///< Further records of it as submitted.
-    uint32_t progress_parts = 0;    ///< Further records of its progress.
+    PartSet body_parts;             ///< Further records of it as submitted.
+    PartSet progress_parts;         ///< Further records of its progress.
     JobState state = JobState::kActive;
     Objective objective;
     std::map<uint32_t, Occurrence> occurrences;
@@ -268,8 +275,11 @@
   void UpdateReady(Job* job, uint32_t occurrence, Time now);
   void OpenDueOccurrences(Job* job, uint64_t wall_ms, Time now);
   void EndJob(Job* job, JobState state, Time now);
+  void StoreEnd(Job* job);
+  void DropUnstored(const JobId& id, const char* why);
   void StopJobRuns(Job* job, Time now);
   void OnAccepted(const JobId& id);
+  void OnAcceptanceRefused(const JobId& id);
   void OpenJob(Job* job, Time now);
   void RefuseUnstoredJobs(Time now);
   void RemoveRuns(const JobId& id);
@@ -282,8 +292,9 @@
   // cell_server.cc: backend servers; cell_run.cc: runs.
   uint32_t RackNumber(const std::string& rack);
   uint32_t ServiceNumber(const std::string& service);
+  bool IsInUse(const Server& server) const;
   void OnNewIncarnation(Server* server, Time now);
-  void StoreServerRecord(Server* server);
+  void StoreServerRecordIfNeeded(Server* server, Time now);
   void DropServerIfIdle(const BackendId& id);
   void SendPoll(Server* server, Time now);
   void ProcessEnds(Server* server, const BackendReport& report, Time now);
@@ -477,16 +488,21 @@
   static std::vector<Release> ReleasesOf(const Server& server, Time now);
 
   // cell_record.cc: persisted records.
+  struct Changes;
   void StoreChanges();
+  void OnProgressStored(const JobId& id, bool stored);
+  void OnChangesStored(const Changes& changes);
+  void RetryRefused(Time now);
   void AddRecords(const std::string& key,
                   const std::string& value,
-                  uint32_t* parts,
-                  std::vector<std::string>* out) const;
+                  PartSet* parts,
+                  std::vector<std::string>* out);
   static std::string SerializeJob(const Job& job);
   std::string SerializeProgress(const Job& job) const;
   void LoadJob(const JobId& id, const std::string& value, Time now);
   void LoadProgress(const JobId& id, const std::string& value);
   void LoadContinued(Time now);
+  void RemoveLeftovers();
   void LoadBackend(const BackendId& id, const std::string& value, Time now);
   void ApplyProgress(Job* job, const std::string& value, Time now);
   void DropExpiredJobs(uint64_t wall_ms);
@@ -499,8 +515,15 @@
   std::map<JobId, EndedJob> ended_;
   std::map<JobId, std::string> loaded_progress_;
   std::map<std::string, std::string> loaded_parts_;  ///< Further records.
-  /// Keys that were loaded with further records, and how many.
-  std::map<std::string, uint32_t> continued_;
+  /// Keys that were loaded with further records, and which.
+  std::map<std::string, PartSet> continued_;
+  /// Keys of further records that belong to no value: a former owner stored
+  /// only some of a job's records.
+  std::vector<std::string> leftover_keys_;
+  uint64_t last_part_set_ = 0;
+  /// Jobs whose newest progress or end the store refused, and when it is to be
+  /// stored again.
+  std::map<JobId, Time> refused_jobs_;
   std::unordered_map<BackendId, Server> servers_;
   ReadySteps ready_;  ///< Steps with waiting tasks.
   std::set<JobId> changed_jobs_;
@@ -509,7 +532,12 @@
   uint64_t last_serial_ = 0;
   std::set<JobId>
       scheduled_jobs_;  ///< Jobs with occurrences that are not due yet.
-  std::map<BackendId, uint64_t> ends_to_acknowledge_;
+  /// Processed ends of a backend server that are not acknowledged yet.
+  struct PendingEnds {
+    uint64_t last = 0;  ///< Number of the last one.
+    std::set<JobId> jobs;
+  };
+  std::map<BackendId, PendingEnds> ends_to_acknowledge_;
   std::map<TeamId, Resources> usage_;
   std::map<QueueId, double>
       admitted_share_;  ///< Share of servers that the advice service admits.
@@ -528,6 +556,9 @@
       rate_limited_at_;  ///< Jobs found over the rate limit recently.
   std::map<std::string, uint32_t> rack_numbers_;
   std::map<std::string, uint32_t> service_numbers_;
+  /// Numbers of the services of all queues so far, also of removed ones, whose
+  /// jobs go on.
+  std::set<uint32_t> services_in_use_;
   /// By number of the service: whether less than half of its capacity was in
   /// use in the last pass.
   std::vector<bool> half_empty_;
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -37,6 +37,8 @@
   if (task == nullptr || job->state != JobState::kActive ||
       live->phase != RunPhase::kStarting) {
     why_not = "obsolete before it was sent";
+  } else if (refused_jobs_.contains(run.task.job)) {
+    why_not = "the store refused its record";
   } else if (!server->lists_read || server->entry.draining ||
              server->suspect_until > now) {
     why_not = "backend server draining or not responding";
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -248,7 +248,8 @@
 Cell::PlaceResult Cell::PlaceStep(Pass* pass, const StepRef& ref, bool urgent) {
   Job* job = nullptr;
   Step* step = FindStep(ref, &job);
-  if (step == nullptr || step->not_before > pass->now || step->tearing_down) {
+  if (step == nullptr || step->not_before > pass->now || step->tearing_down ||
+      refused_jobs_.contains(ref.job)) {
     return PlaceResult::kSkipped;
   }
   const StepSpec& spec = job->spec.steps[ref.step];
--- a/src/cell_port.h
+++ b/src/cell_port.h
@@ -51,14 +51,19 @@
                            const std::vector<BackendId>& backends,
                            milliseconds expected,
                            bool urgent) = 0;
-  /// Stores records atomically and runs `done` once they are durable. Callbacks
-  /// run in the order of the calls; none runs after the cell is lost.
+  /// Stores records in this order, but not always together: a new owner may
+  /// find only the first ones. Runs `done` once all are durable or the store
+  /// has refused one for good, with whether they are durable. Callbacks run in
+  /// the order of the calls; none runs after the cell is lost.
   /// @return A number for CancelUnsent.
   virtual uint64_t StoreRecords(std::vector<std::string> records,
-                                std::function<void()> done) = 0;
+                                std::function<void(bool stored)> done) = 0;
   /// Cancels a StoreRecords call that was not sent to the store yet. @return
   /// False if the records may already be stored.
   virtual bool CancelUnsent(uint64_t number) = 0;
+  /// @return True while many records wait to be sent. Changes of a job are then
+  /// better stored together.
+  virtual bool HasStoreBacklog() const = 0;
   /// @return Number of instances that send advice queries.
   virtual size_t CountAdviceInstances() const = 0;
   /// @return Of these, those that could send a long query now.
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -1,9 +1,10 @@
 // The cell's persisted records, by key: "s:JOB" is a job as submitted, until it
 // ends; "p:JOB" is its progress, then its final state; "b:BACKEND" is a backend
-// server that may run tasks. "KEY/1" and so on hold the value of a key that is
-// too large for one record.
+// server that may run tasks. "KEY/SET/1" and so on hold the value of a key that
+// is too large for one record.
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "cell_base.h"
@@ -15,6 +16,8 @@
 namespace bw {
 namespace {
 
+/// Pause before a record that the store refused is stored again.
+constexpr milliseconds kRefusedRecordPause{1000};
 /// Added to the guaranteed retention time of ended jobs, as clocks differ.
 constexpr uint64_t kClockSkewMs = 30'000;
 
@@ -25,15 +28,33 @@
 /// Between a key and the number of a further record.
 constexpr char kPartSeparator = '/';
 
-std::string PartKey(const std::string& key, uint32_t n) {
-  return key + kPartSeparator + std::to_string(n);
+/// @param set Number of the set of records; 0 is not part of the key.
+/// @param n Number of the record in its set, from 1 on.
+std::string PartKey(const std::string& key, uint64_t set, uint32_t n) {
+  std::string out = key + kPartSeparator;
+  if (set > 0) {
+    out += std::to_string(set) + kPartSeparator;
+  }
+  return out + std::to_string(n);
+}
+
+/// @return The set of a further record; 0 if its key names none.
+uint64_t PartSetOf(const std::string& part_key) {
+  const size_t first = part_key.find(kPartSeparator);
+  const size_t last = part_key.rfind(kPartSeparator);
+  uint64_t out = 0;
+  if (first < last) {
+    std::from_chars(part_key.data() + first + 1, part_key.data() + last, out);
+  }
+  return out;
 }
 
-/// @return The value of a key whose value is in `parts` further records.
+/// @return The value of a key whose value is in `count` further records.
 template <typename T>
-std::string MakeHead(uint32_t parts) {
+std::string MakeHead(uint64_t set, uint32_t count) {
   T out;
-  out.set_continued_in(parts);
+  out.set_continued_in(count);
+  out.set_continued_set(set);
   return out.SerializeAsString();
 }
 
@@ -144,78 +165,145 @@
 }
 
 /// Adds the records of a key: one, or if the value is too large for one, a head
-/// and further records that hold its parts.
+/// and further records that hold its parts. The parts come first, under keys of
+/// their own, and those of the former value are removed last: each of the
+/// records leaves the former value or the new one.
 /// @param value Empty: removes the key.
-/// @param parts Number of further records; those not needed any more are
-/// removed.
+/// @param parts The further records of the former value, then of the new one.
 void Cell::AddRecords(const std::string& key,
                       const std::string& value,
-                      uint32_t* parts,
-                      std::vector<std::string>* out) const {
+                      PartSet* parts,
+                      std::vector<std::string>* out) {
   const size_t max_bytes = options_.max_record_bytes - kMaxKeyBytes;
-  uint32_t count = 0;
+  const PartSet former = *parts;
+  *parts = {};
   if (value.size() <= max_bytes) {
     out->push_back(platform::MakeKeyedRecord(key, value));
   } else {
-    count = static_cast<uint32_t>((value.size() + max_bytes - 1) / max_bytes);
-    out->push_back(platform::MakeKeyedRecord(
-        key, key.starts_with("s:") ? MakeHead<proto::JobRecord>(count)
-                                   : MakeHead<proto::JobProgress>(count)));
-  }
-  for (uint32_t n = 0; n < count; ++n) {
+    parts->number = ++last_part_set_;
+    parts->count =
+        static_cast<uint32_t>((value.size() + max_bytes - 1) / max_bytes);
+    for (uint32_t n = 0; n < parts->count; ++n) {
+      out->push_back(
+          platform::MakeKeyedRecord(PartKey(key, parts->number, n + 1),
+                                    value.substr(n * max_bytes, max_bytes)));
+    }
     out->push_back(platform::MakeKeyedRecord(
-        PartKey(key, n + 1), value.substr(n * max_bytes, max_bytes)));
+        key, key.starts_with("s:")
+                 ? MakeHead<proto::JobRecord>(parts->number, parts->count)
+                 : MakeHead<proto::JobProgress>(parts->number, parts->count)));
   }
-  for (uint32_t n = count; n < *parts; ++n) {
-    out->push_back(platform::MakeKeyedRecord(PartKey(key, n + 1), ""));
+  for (uint32_t n = 0; n < former.count; ++n) {
+    out->push_back(
+        platform::MakeKeyedRecord(PartKey(key, former.number, n + 1), ""));
   }
-  *parts = count;
 }
 
+/// What is done once the records of one StoreChanges call are stored.
+struct Cell::Changes {
+  /// Of an incarnation of a backend server.
+  struct Ends {
+    BackendId backend;
+    uint64_t incarnation = 0;
+    PendingEnds ends;
+  };
+  std::vector<UnsentStart> starts;
+  std::vector<Ends> ends;
+};
+
 /// Stores the progress of changed jobs. Once it is durable, sends the starts it
 /// records and lets the ends it covers be acknowledged.
 void Cell::StoreChanges() {
-  if (changed_jobs_.empty() && ends_to_acknowledge_.empty()) {
+  if ((changed_jobs_.empty() && ends_to_acknowledge_.empty()) ||
+      port_->HasStoreBacklog()) {
     return;
   }
-  auto starts = std::move(unsent_starts_);
-  unsent_starts_.clear();
-  for (const auto& id : changed_jobs_) {
+  Changes changes;
+  changes.starts = std::exchange(unsent_starts_, {});
+  for (const auto& id : std::exchange(changed_jobs_, {})) {
     if (Job* job = FindJob(id); job != nullptr && job->progress_changed) {
       job->progress_changed = false;
       // A batch for each job, as a call of the store may not hold all.
       std::vector<std::string> records;
       AddRecords("p:" + id.value, SerializeProgress(*job), &job->progress_parts,
                  &records);
-      port_->StoreRecords(std::move(records), [] {});
+      port_->StoreRecords(std::move(records), [this, id](bool stored) {
+        OnProgressStored(id, stored);
+      });
     }
   }
-  changed_jobs_.clear();
-  auto ends = std::move(ends_to_acknowledge_);
-  ends_to_acknowledge_.clear();
-  std::vector<std::pair<uint64_t, std::pair<BackendId, uint64_t>>> stored;
-  for (const auto& it : ends) {
+  for (auto& it : std::exchange(ends_to_acknowledge_, {})) {
     if (auto server = servers_.find(it.first); server != servers_.end()) {
-      stored.push_back(
-          {server->second.entry.incarnation, {it.first, it.second}});
+      changes.ends.push_back(
+          {it.first, server->second.entry.incarnation, std::move(it.second)});
+    }
+  }
+  port_->StoreRecords({}, [this, changes = std::move(changes)](bool) {
+    OnChangesStored(changes);
+  });
+}
+
+void Cell::OnProgressStored(const JobId& id, bool stored) {
+  if (stored) {
+    refused_jobs_.erase(id);
+  } else {
+    refused_jobs_[id] = now_ + kRefusedRecordPause;
+  }
+}
+
+/// @pre The outcome of each of the records is known.
+void Cell::OnChangesStored(const Changes& changes) {
+  for (const auto& it : changes.starts) {
+    SendStart(it, now_);
+  }
+  for (const auto& it : changes.ends) {
+    auto server = servers_.find(it.backend);
+    if (server == servers_.end() ||
+        server->second.entry.incarnation != it.incarnation) {
+      continue;
+    }
+    const bool refused = std::any_of(
+        it.ends.jobs.begin(), it.ends.jobs.end(),
+        [&](const JobId& id) { return refused_jobs_.contains(id); });
+    if (refused) {
+      PendingEnds& pending = ends_to_acknowledge_[it.backend];
+      pending.last = std::max(pending.last, it.ends.last);
+      pending.jobs.insert(it.ends.jobs.begin(), it.ends.jobs.end());
+    } else {
+      server->second.acknowledged =
+          std::max(server->second.acknowledged, it.ends.last);
     }
   }
-  port_->StoreRecords({}, [this, stored, starts] {
-    for (const auto& it : starts) {
-      SendStart(it, now_);
+}
+
+/// Stores the progress and the ends again that the store refused.
+void Cell::RetryRefused(Time now) {
+  for (auto it = refused_jobs_.begin(); it != refused_jobs_.end();) {
+    Job* job = FindJob(it->first);
+    if (job == nullptr) {
+      it = refused_jobs_.erase(it);
+      continue;
     }
-    for (const auto& it : stored) {
-      auto server = servers_.find(it.second.first);
-      if (server != servers_.end() &&
-          server->second.entry.incarnation == it.first) {
-        server->second.acknowledged =
-            std::max(server->second.acknowledged, it.second.second);
+    if (now >= it->second) {
+      it->second = now + kRefusedRecordPause;
+      if (job->state != JobState::kActive) {
+        StoreEnd(job);
+      } else {
+        job->progress_changed = true;
+        changed_jobs_.insert(job->id);
       }
     }
-  });
+    ++it;
+  }
 }
 
-void Cell::StoreServerRecord(Server* server) {
+/// Stores the record of a backend server that may get tasks. One that never
+/// answered has none: any writer can put an entry into the store.
+void Cell::StoreServerRecordIfNeeded(Server* server, Time now) {
+  if (!server->listed || !server->lists_read || server->record_stored ||
+      server->storing_record || now < server->next_record_at) {
+    return;
+  }
   server->storing_record = true;
   const BackendEntry& entry = server->entry;
   proto::BackendRecord record;
@@ -226,21 +314,19 @@
   record.set_millicores(entry.capacity.millicores);
   record.set_memory_mb(entry.capacity.memory_mb);
   record.set_accelerators(entry.capacity.accelerators);
-  record.set_rack(entry.rack);
-  for (const auto& it : entry.labels) {
-    record.add_labels(it);
-  }
   const uint64_t incarnation = entry.incarnation;
   port_->StoreRecords(
       {platform::MakeKeyedRecord("b:" + entry.id.value,
                                  record.SerializeAsString())},
-      [this, id = entry.id, incarnation] {
+      [this, id = entry.id, incarnation](bool stored) {
         auto it = servers_.find(id);
         // It may have become known since.
         if (it != servers_.end() &&
             (it->second.entry.incarnation == incarnation || incarnation == 0)) {
-          it->second.record_stored = true;
+          it->second.record_stored = stored;
           it->second.storing_record = false;
+          it->second.next_record_at =
+              stored ? kNever : now_ + kRefusedRecordPause;
         }
       });
 }
@@ -254,6 +340,7 @@
     LoadBackend(BackendId(name), value, now);
   } else if (key.find(kPartSeparator) != std::string::npos) {
     loaded_parts_[key] = value;
+    last_part_set_ = std::max(last_part_set_, PartSetOf(key));
   } else if (key.starts_with("s:")) {
     LoadJob(JobId(name), value, now);
   } else if (key.starts_with("p:")) {
@@ -265,22 +352,51 @@
 
 /// Loads the values that take several records. @pre All records were loaded.
 void Cell::LoadContinued(Time now) {
-  const auto parts = std::exchange(loaded_parts_, {});
+  auto parts = std::exchange(loaded_parts_, {});
   const auto continued = std::exchange(continued_, {});
-  for (const auto& [key, count] : continued) {
+  for (const auto& [key, set] : continued) {
     std::string value;
-    for (uint32_t n = 1; n <= count; ++n) {
-      if (auto it = parts.find(PartKey(key, n)); it != parts.end()) {
-        value += it->second;
+    uint32_t found = 0;
+    for (uint32_t n = 1; n <= set.count; ++n) {
+      if (auto node = parts.extract(PartKey(key, set.number, n));
+          !node.empty()) {
+        value += node.mapped();
+        ++found;
       }
     }
+    if (found < set.count) {
+      LogEvent(Part::kPlacer, "record_incomplete",
+               {{"key", key}, {"parts", set.count}, {"found", found}});
+      continue;
+    }
     Load(key, value, now);
   }
-  for (const auto& [key, count] : continued) {
+  for (const auto& [key, set] : continued) {
     if (Job* job = FindJob(JobId(key.substr(kKindLength)))) {
-      (key.starts_with("s:") ? job->body_parts : job->progress_parts) = count;
+      (key.starts_with("s:") ? job->body_parts : job->progress_parts) = set;
+    }
+  }
+  for (const auto& it : parts) {
+    leftover_keys_.push_back(it.first);
+  }
+}
+
+/// Removes records that a former owner left as it stored only some of those of
+/// a job.
+void Cell::RemoveLeftovers() {
+  std::vector<std::string> records;
+  for (const auto& key : std::exchange(leftover_keys_, {})) {
+    records.push_back(platform::MakeKeyedRecord(key, ""));
+  }
+  for (const auto& it : ended_) {
+    if (auto job = jobs_.extract(it.first); !job.empty()) {
+      AddRecords("s:" + it.first.value, "", &job.mapped().body_parts, &records);
     }
   }
+  if (!records.empty()) {
+    LogEvent(Part::kPlacer, "leftovers_removed", {{"records", records.size()}});
+    port_->StoreRecords(std::move(records), [](bool) {});
+  }
 }
 
 void Cell::LoadJob(const JobId& id, const std::string& value, Time now) {
@@ -288,7 +404,8 @@
   Job job;
   const bool parsed = record.ParseFromString(value);
   if (parsed && record.continued_in() > 0) {
-    continued_["s:" + id.value] = record.continued_in();
+    continued_["s:" + id.value] = {record.continued_set(),
+                                   record.continued_in()};
     return;
   }
   if (!parsed || platform::ReadBatchSpec(record.body(), &job.spec) !=
@@ -318,6 +435,7 @@
     job.policy = PolicyOf(record);
   }
   job.objective = ObjectiveOf(job.policy, LongestChainMs(job.spec, {}));
+  services_in_use_.insert(ServiceNumber(job.policy.service));
   jobs_[id] = std::move(job);
 }
 
@@ -328,7 +446,8 @@
     return;
   }
   if (record.continued_in() > 0) {
-    continued_["p:" + id.value] = record.continued_in();
+    continued_["p:" + id.value] = {record.continued_set(),
+                                   record.continued_in()};
     return;
   }
   if (record.state() != 0) {
@@ -354,9 +473,6 @@
   server.entry.zone = ZoneId(record.zone());
   server.entry.incarnation = record.incarnation();
   server.entry.capacity = ToResources(record);
-  server.entry.labels.assign(record.labels().begin(), record.labels().end());
-  server.entry.rack = record.rack();
-  server.rack = RackNumber(record.rack());
   server.service = ServiceNumber(record.service());
   server.record_stored = true;
   // The longest lease that a former owner may have granted just now, on a clock
@@ -449,6 +565,7 @@
 void Cell::OnLoaded(Time now) {
   loaded_at_ = now;
   LoadContinued(now);
+  RemoveLeftovers();
   for (auto& it : jobs_) {
     Job* job = &it.second;
     auto progress = loaded_progress_.find(it.first);
@@ -501,7 +618,7 @@
     }
   }
   if (!records.empty()) {
-    port_->StoreRecords(std::move(records), [] {});
+    port_->StoreRecords(std::move(records), [](bool) {});
   }
 }
 
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -32,6 +32,20 @@
 /// would end this much later than the earliest exit, as servers often exit
 /// later than that.
 constexpr uint64_t kEvacuateSlackMs = 1000;
+
+/// @return The labels as far as they fit into a log line.
+std::vector<std::string> ShortLabels(const std::vector<std::string>& labels) {
+  constexpr size_t kMaxLabels = 8;
+  constexpr size_t kMaxLength = 64;
+  std::vector<std::string> out;
+  for (const auto& it : labels) {
+    if (out.size() < kMaxLabels) {
+      out.push_back(it.substr(0, kMaxLength));
+    }
+  }
+  return out;
+}
+
 }  // namespace
 
 void Cell::SetBackend(const BackendEntry& entry, Time now) {
@@ -54,7 +68,7 @@
               {"incarnation", entry.incarnation},
               {"draining", entry.draining},
               {"millicores", entry.capacity.millicores},
-              {"labels", entry.labels}});
+              {"labels", ShortLabels(entry.labels)}});
   }
   const bool same = server.record_stored &&
                     entry.address == server.entry.address &&
@@ -86,6 +100,11 @@
       .first->second;
 }
 
+/// @return True if a queue sends its tasks to the server's service, or did.
+bool Cell::IsInUse(const Server& server) const {
+  return services_in_use_.contains(server.service);
+}
+
 uint32_t Cell::ServiceNumber(const std::string& service) {
   return service_numbers_
       .try_emplace(service, static_cast<uint32_t>(service_numbers_.size()))
@@ -167,7 +186,7 @@
   servers_.erase(it);
   if (has_record) {
     port_->StoreRecords({platform::MakeKeyedRecord("b:" + id.value, "")},
-                        [] {});
+                        [](bool) {});
   }
 }
 
@@ -250,16 +269,15 @@
   const bool silent = !server->lists_read &&
                       server->unknown_leases_lapse_at == kNever &&
                       server->runs.empty() && server->suspect_until > now;
-  if (server->listed && !server->record_stored && !server->storing_record &&
-      !silent) {
-    StoreServerRecord(server);
-  } else if (silent && server->record_stored) {
+  StoreServerRecordIfNeeded(server, now);
+  if (silent && server->record_stored) {
     server->record_stored = false;
     port_->StoreRecords(
-        {platform::MakeKeyedRecord("b:" + server->entry.id.value, "")}, [] {});
+        {platform::MakeKeyedRecord("b:" + server->entry.id.value, "")},
+        [](bool) {});
   }
   const bool wanted =
-      (server->listed && !server->lists_read) ||
+      (server->listed && !server->lists_read && IsInUse(*server)) ||
       (!server->lists_read && server->unknown_leases_lapse_at != kNever) ||
       !server->runs.empty();
   // Tasks of a silent server start elsewhere once its leases have lapsed and no
@@ -381,6 +399,7 @@
               {"runs", server->runs.size()}});
     return;
   }
+  StoreServerRecordIfNeeded(server, now);
   RemoveUnlistedRuns(server, report, sent, now);
   ResolveMaybeRunning(backend, now);
 }
@@ -395,7 +414,9 @@
     }
     server->last_processed_end = it.number;
     OnRunEnd(server, it, now);
-    ends_to_acknowledge_[server->entry.id] = it.number;
+    PendingEnds& pending = ends_to_acknowledge_[server->entry.id];
+    pending.last = it.number;
+    pending.jobs.insert(it.run.task.job);
   }
 }
 
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -253,6 +253,7 @@
   const auto records = owner_.CountRecords();
   metrics_.Set("bw_append_latency_seconds", "",
                static_cast<double>(records.latency_ms) / 1000.0);
+  metrics_.Set("bw_records_refused", "", static_cast<double>(records.refused));
   if (owner_.IsActive()) {
     LogEvent(Part::kPlacer, "cell_state",
              {{"jobs", counts.jobs},
--- a/src/fake/memory_store.h
+++ b/src/fake/memory_store.h
@@ -23,6 +23,8 @@
 
   /// Larger records are rejected as invalid.
   static constexpr size_t kMaxRecordBytes = 256 << 10;
+  /// Calls with more bytes of records are rejected as invalid.
+  static constexpr size_t kMaxCallBytes = 2 << 20;
 
   /// Fault that the next calls meet.
   enum class FaultMode : uint8_t {
@@ -37,9 +39,13 @@
               std::function<void(platform::AppendResponse)> done) override {
     ++appends;
     platform::AppendResponse response;
-    const bool too_large =
-        std::any_of(append.records.begin(), append.records.end(),
-                    [](const auto& it) { return it.size() > kMaxRecordBytes; });
+    size_t bytes = 0;
+    bool too_large = false;
+    for (const auto& it : append.records) {
+      bytes += it.size();
+      too_large = too_large || it.size() > max_record_bytes;
+    }
+    too_large = too_large || bytes > kMaxCallBytes;
     if (fault_mode == FaultMode::kRejectCalls) {
       response.status = Status::kRefused;
     } else if (too_large) {
@@ -221,6 +227,7 @@
   static constexpr uint32_t kPartitionsPerTopic = 24;
 
   FaultMode fault_mode = FaultMode::kNone;
+  size_t max_record_bytes = kMaxRecordBytes;
   int appends = 0;  ///< Append calls so far, failed ones included.
   /// Queued responses, in the order of the calls.
   std::deque<std::function<void()>> responses;
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -65,15 +65,16 @@
   options.fencing_token = epoch_;
   options.wall_ms = wall_.Read(gained_at_);
   cell_ = std::make_unique<Cell>(options, static_cast<CellPort*>(this));
-  log_ = std::make_unique<RecordLog>(parts_.store, parts_.core, epoch_,
-                                     max_call_bytes_, [this] {
-                                       const uint64_t tenure = tenure_;
-                                       parts_.core->Post([this, tenure] {
-                                         if (tenure == tenure_) {
-                                           OnFenced();
-                                         }
-                                       });
-                                     });
+  log_ = std::make_unique<RecordLog>(
+      parts_.store, parts_.core, epoch_,
+      RecordLimits{max_call_bytes_, options.max_record_bytes}, [this] {
+        const uint64_t tenure = tenure_;
+        parts_.core->Post([this, tenure] {
+          if (tenure == tenure_) {
+            OnFenced();
+          }
+        });
+      });
   if (parts_.config->Current()) {
     cell_->SetConfig(parts_.config->Current());
   }
@@ -477,7 +478,7 @@
 }
 
 uint64_t Owner::StoreRecords(std::vector<std::string> records,
-                             std::function<void()> done) {
+                             std::function<void(bool stored)> done) {
   return log_->Append(std::move(records), std::move(done));
 }
 
@@ -485,6 +486,10 @@
   return log_->CancelUnsent(number);
 }
 
+bool Owner::HasStoreBacklog() const {
+  return log_->HasBacklog();
+}
+
 void Owner::OnFenced() {
   const uint64_t tenure = tenure_;
   // Posted, because the cell may be in the middle of an event.
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -102,8 +102,9 @@
                    milliseconds expected,
                    bool urgent) override;
   uint64_t StoreRecords(std::vector<std::string> records,
-                        std::function<void()> done) override;
+                        std::function<void(bool stored)> done) override;
   bool CancelUnsent(uint64_t number) override;
+  bool HasStoreBacklog() const override;
   size_t CountAdviceInstances() const override {
     return parts_.membership->Members().size();
   }
--- a/src/platform/backend.cc
+++ b/src/platform/backend.cc
@@ -132,11 +132,18 @@
           NumberUpTo(kMaxAmount, value, "gpu").value_or(0)};
 }
 
+/// Longest id of a backend server: it is a part of a key, whose length takes
+/// one byte.
+constexpr size_t kMaxIdBytes = 250;
+/// Longest name of a service or zone, and longest address.
+constexpr size_t kMaxNameBytes = 300;
+
 /// @return True if `id` can be a backend server's name: it is sent in headers
 /// and stored in records, which take no other bytes.
-bool IsPrintable(const std::string& id) {
-  return !id.empty() && std::all_of(id.begin(), id.end(),
-                                    [](char c) { return c > ' ' && c <= '~'; });
+bool IsBackendId(const std::string& id) {
+  return !id.empty() && id.size() <= kMaxIdBytes &&
+         std::all_of(id.begin(), id.end(),
+                     [](char c) { return c > ' ' && c <= '~'; });
 }
 
 }  // namespace
@@ -283,7 +290,10 @@
   out.zone = ZoneId(TextOf(body, "zone"));
   const std::string state = TextOf(body, "state");
   const bool known_state = state == "ready" || state == "draining";
-  if (!IsPrintable(id) || out.service.empty() ||
+  const bool too_long = out.service.size() > kMaxNameBytes ||
+                        out.address.size() > kMaxNameBytes ||
+                        out.zone.value.size() > kMaxNameBytes;
+  if (!IsBackendId(id) || too_long || out.service.empty() ||
       SplitAddress(out.address).port == 0 || !known_state ||
       body.find("capacity") == body.end()) {
     return std::nullopt;
--- a/src/platform/store.cc
+++ b/src/platform/store.cc
@@ -15,6 +15,7 @@
 
 constexpr size_t kRecordLengthBytes = 4;
 constexpr size_t kOffsetBytes = 8;
+constexpr int kServerError = 500;
 /// Timeout of calls without a long poll. A slow store responds after about
 /// 400 ms.
 constexpr milliseconds kCallTimeout{1500};
@@ -50,10 +51,11 @@
     case 507:
       return StoreStatus::kFull;
     case 429:
-    case 503:
       return StoreStatus::kRefused;
     default:
-      return StoreStatus::kInvalid;
+      // An error of the server says nothing about the request.
+      return result.status >= kServerError ? StoreStatus::kRefused
+                                           : StoreStatus::kInvalid;
   }
 }
 
--- a/src/record_log.cc
+++ b/src/record_log.cc
@@ -4,6 +4,7 @@
 
 #include "event_log_func.h"
 #include "membership_base.h"
+#include "platform/store.h"
 
 namespace bw {
 namespace {
@@ -12,8 +13,6 @@
 /// 400 ms.
 constexpr milliseconds kAppendTimeout{1500};
 constexpr milliseconds kRefusedPause{50};
-/// Delay before an append that the store takes for invalid is repeated.
-constexpr milliseconds kInvalidPause{1000};
 /// Delay before an append that overtook its predecessor is repeated.
 constexpr milliseconds kOutOfOrderPause{10};
 /// Most calls in flight. The store detects a repeated append only among the
@@ -26,60 +25,121 @@
 /// Bytes of the store's framing per record.
 constexpr size_t kFrameBytes = 4;
 
+size_t BytesOf(const std::string& record) {
+  return record.size() + kFrameBytes;
+}
+
+size_t BytesOf(const std::vector<std::string>& records) {
+  size_t out = 0;
+  for (const auto& it : records) {
+    out += BytesOf(it);
+  }
+  return out;
+}
+
 }  // namespace
 
 RecordLog::RecordLog(platform::Store* store,
                      EventLoop* core,
                      uint64_t epoch,
-                     size_t max_call_bytes,
+                     RecordLimits limits,
                      std::function<void()> on_fenced)
     : store_(store),
       core_(core),
       epoch_(epoch),
-      max_call_bytes_(max_call_bytes),
+      limits_(limits),
       on_fenced_(std::move(on_fenced)) {}
 
 RecordLog::~RecordLog() {
   *alive_ = false;
 }
 
-uint64_t RecordLog::Append(std::vector<std::string> records,
-                           std::function<void()> done) {
-  queued_.push_back({++last_number_, std::move(records), std::move(done)});
+uint64_t RecordLog::Append(std::vector<std::string> records, Done done) {
+  Batch batch{++last_number_, std::move(records), std::move(done)};
+  const bool too_large = std::any_of(
+      batch.records.begin(), batch.records.end(),
+      [&](const auto& it) { return it.size() > limits_.max_record; });
+  if (too_large) {
+    Drop(&batch);
+  }
+  queued_bytes_ += BytesOf(batch.records);
+  queued_.push_back(std::move(batch));
   return last_number_;
 }
 
 bool RecordLog::CancelUnsent(uint64_t number) {
   auto it = std::find_if(queued_.begin(), queued_.end(),
                          [&](const Batch& b) { return b.number == number; });
-  if (it == queued_.end()) {
+  if (it == queued_.end() || it->is_sent) {
     return false;
   }
+  queued_bytes_ -= BytesOf(it->records);
   queued_.erase(it);
   return true;
 }
 
-/// Moves as many queued batches as fit into one call.
+/// Drops the records of a batch. Its callback keeps its turn.
+void RecordLog::Drop(Batch* batch) {
+  nlohmann::json keys = nlohmann::json::array();
+  for (const auto& it : batch->records) {
+    constexpr size_t kMaxKeys = 4;
+    if (keys.size() < kMaxKeys) {
+      keys.push_back(platform::ReadKeyedRecord(it).key);
+    }
+  }
+  LogEvent(Part::kLogClient, "records_refused",
+           {{"epoch", epoch_},
+            {"keys", keys},
+            {"records", batch->records.size()},
+            {"bytes", BytesOf(batch->records)}});
+  ++counters_.refused;
+  batch->records.clear();
+  batch->refused = true;
+}
+
+void RecordLog::Take(Batch batch, size_t* bytes, Call* call) {
+  const size_t more = BytesOf(batch.records);
+  *bytes += more;
+  queued_bytes_ -= more;
+  counters_.records += batch.records.size();
+  counters_.bytes += more;
+  call->batches.push_back(std::move(batch));
+}
+
+/// Moves as many queued batches as fit into one call. A batch that exceeds a
+/// call is moved in parts.
 RecordLog::Call RecordLog::NextCall() {
   Call out;
   size_t bytes = 0;
-  size_t records = 0;
-  while (!queued_.empty()) {
-    size_t more = 0;
-    for (const auto& it : queued_.front().records) {
-      more += it.size() + kFrameBytes;
+  const size_t max_batches = isolated_ > 0 ? 1 : queued_.size();
+  while (!queued_.empty() && out.batches.size() < max_batches) {
+    Batch& front = queued_.front();
+    if (bytes + BytesOf(front.records) <= limits_.max_call) {
+      Take(std::move(front), &bytes, &out);
+      queued_.pop_front();
+      isolated_ -= isolated_ > 0 ? 1 : 0;
+      continue;
     }
-    if (!out.batches.empty() && bytes + more > max_call_bytes_) {
+    if (!out.batches.empty()) {
       break;
     }
-    bytes += more;
-    records += queued_.front().records.size();
-    out.batches.push_back(std::move(queued_.front()));
-    queued_.pop_front();
-  }
-  counters_.records += records;
-  counters_.bytes += bytes;
-  if (records == 0) {
+    Batch part;
+    part.number = front.number;
+    size_t part_bytes = 0;
+    auto end = front.records.begin();
+    do {
+      part_bytes += BytesOf(*end);
+      ++end;
+    } while (end != front.records.end() &&
+             part_bytes + BytesOf(*end) <= limits_.max_call);
+    part.records.assign(std::make_move_iterator(front.records.begin()),
+                        std::make_move_iterator(end));
+    front.records.erase(front.records.begin(), end);
+    front.is_sent = true;
+    Take(std::move(part), &bytes, &out);
+    break;
+  }
+  if (bytes == 0) {
     out.stored = true;  // Nothing to send; finishes after the calls before it.
   } else {
     out.sequence = next_sequence_++;
@@ -89,18 +149,24 @@
 
 void RecordLog::Flush(Time now) {
   // The next sequence number is known only after the first append.
-  const size_t max_calls = first_append_ ? 1 : kMaxCallsInFlight;
+  const size_t max_calls =
+      first_append_ || isolated_ > 0 ? 1 : kMaxCallsInFlight;
   // Spreads calls to a slow store over the latency of one append. Sent
   // together, they would occupy all slots while later records wait.
   const Duration spacing =
       std::max<Duration>(kMinCallSpacing, average_latency_ / kMaxCallsInFlight);
   const bool spaced = calls_.empty() || now - newest_call_at_ >= spacing;
-  if (!queued_.empty() && calls_.size() < max_calls && spaced) {
+  const bool any_refused = std::any_of(
+      calls_.begin(), calls_.end(), [](const Call& it) { return it.refused; });
+  if (!queued_.empty() && calls_.size() < max_calls && spaced && !any_refused) {
     newest_call_at_ = now;
     calls_.push_back(NextCall());
     calls_.back().first_sent = now;
   }
   for (auto& it : calls_) {
+    if (it.refused) {
+      break;  // Later calls can only be stored after it.
+    }
     if (!it.stored && !it.sending && now >= it.send_at) {
       it.last_sent = now;
       Send(&it);
@@ -152,6 +218,7 @@
   if (call == calls_.end()) {
     return;
   }
+  const auto alive = alive_;  // Callbacks may destroy the log.
   call->sending = false;
   const Time now = BootClock::now();
   const bool out_of_order =
@@ -166,6 +233,9 @@
     average_latency_ +=
         (now - call->last_sent - average_latency_) / kAverageDivisor;
     CompleteStored();
+    if (*alive) {
+      IsolateRefused();
+    }
     return;
   }
   if (out_of_order && first_append_) {
@@ -186,26 +256,79 @@
   }
   switch (response.status) {
     case platform::StoreStatus::kUnknown:
+      call->may_be_late = true;
+      if (std::any_of(calls_.begin(), call,
+                      [](const Call& it) { return it.refused; })) {
+        IsolateRefused();
+        return;
+      }
       call->last_sent = now;
       Send(&*call);
       return;
     case platform::StoreStatus::kOutOfOrder:  // Overtook its predecessor.
       call->send_at = now + kOutOfOrderPause;
+      IsolateRefused();
       return;
     case platform::StoreStatus::kRefused:
     case platform::StoreStatus::kNotSent:
     case platform::StoreStatus::kFull:
       call->send_at = now + kRefusedPause;
+      IsolateRefused();
       return;
     case platform::StoreStatus::kInvalid:
-      // Another owner would send the same: it is no reason to resign.
-      call->send_at = now + kInvalidPause;
+      call->refused = true;
+      IsolateRefused();
       return;
     default:
       on_fenced_();
   }
 }
 
+/// Once the calls before a refused call are stored and no later call is in
+/// flight: drops the batch that the store takes for invalid, or queues all
+/// batches again so that the invalid one can be found.
+void RecordLog::IsolateRefused() {
+  if (calls_.empty() || !calls_.front().refused ||
+      std::any_of(calls_.begin(), calls_.end(),
+                  [](const Call& it) { return it.sending; })) {
+    return;
+  }
+  if (std::any_of(calls_.begin() + 1, calls_.end(),
+                  [](const Call& it) { return it.may_be_late; })) {
+    // A copy of a later call could be stored under a sequence number that is
+    // about to be used for other records. The next owner has an epoch of its
+    // own.
+    LogEvent(Part::kLogClient, "append_in_doubt", {{"epoch", epoch_}});
+    on_fenced_();
+    return;
+  }
+  std::deque<Batch> unsent;
+  for (auto& call : calls_) {
+    for (auto& it : call.batches) {
+      it.is_sent = true;
+      queued_bytes_ += BytesOf(it.records);
+      unsent.push_back(std::move(it));
+    }
+  }
+  const size_t refused = calls_.front().batches.size();
+  next_sequence_ = calls_.front().sequence;
+  calls_.clear();
+  if (refused == 1) {
+    // The other parts of its batch are queued right behind it.
+    const uint64_t number = unsent.front().number;
+    for (auto* batches : {&unsent, &queued_}) {
+      for (auto it = batches->begin();
+           it != batches->end() && it->number == number; ++it) {
+        queued_bytes_ -= BytesOf(it->records);
+        Drop(&*it);
+      }
+    }
+  }
+  isolated_ += refused;
+  queued_.insert(queued_.begin(), std::make_move_iterator(unsent.begin()),
+                 std::make_move_iterator(unsent.end()));
+}
+
 /// Runs the callbacks of stored calls in order.
 void RecordLog::CompleteStored() {
   const auto alive = alive_;
@@ -216,7 +339,9 @@
       if (!*alive) {
         return;
       }
-      it.done();
+      if (it.done) {
+        it.done(!it.refused);
+      }
     }
   }
 }
--- a/test/store_test.cc
+++ b/test/store_test.cc
@@ -332,6 +332,9 @@
 /// A record log with its own core thread; the store responds only during
 /// RunFor().
 struct LogFixture {
+  static constexpr size_t kCallBytes = fake::MemoryStore::kMaxCallBytes;
+  static constexpr size_t kRecordBytes = fake::MemoryStore::kMaxRecordBytes;
+
   fake::MemoryStore store;
   EventLoop loop{milliseconds(5), milliseconds(5000),
                  [this] {
@@ -345,7 +348,8 @@
   std::atomic<int> done{0};
 
   explicit LogFixture(uint64_t epoch) {
-    log = std::make_unique<RecordLog>(&store, &loop, epoch, 1 << 20,
+    log = std::make_unique<RecordLog>(&store, &loop, epoch,
+                                      RecordLimits{kCallBytes, kRecordBytes},
                                       [this] { ++fenced; });
   }
   void RunFor(int ms) {
@@ -358,11 +362,23 @@
   void AppendRecord(const std::string& key) {
     loop.Post([this, key] {
       log->Append({platform::MakeKeyedRecord(key, "value")},
-                  [this] { ++done; });
+                  [this](bool stored) { done += stored ? 1 : 0; });
     });
   }
+  /// @return The keys of all stored records, in order.
+  std::string StoredKeys() {
+    std::string out;
+    for (const auto& it : store.log[CellPartition()]) {
+      out += platform::ReadKeyedRecord(it).key;
+    }
+    return out;
+  }
 };
 
+std::string RecordOf(const std::string& key, size_t value_bytes) {
+  return platform::MakeKeyedRecord(key, std::string(value_bytes, 'x'));
+}
+
 }  // namespace
 
 TEST(RecordLog, LostAnswerStoresNothingTwice) {
@@ -416,7 +432,7 @@
   it.loop.Post([&it] {
     const std::string value(fake::MemoryStore::kMaxRecordBytes, 'x');
     it.log->Append({platform::MakeKeyedRecord("a", value)},
-                   [&it] { ++it.done; });
+                   [&it](bool stored) { it.done += stored ? 1 : 0; });
   });
   it.loop.Start();
   it.RunFor(100);
@@ -425,13 +441,135 @@
   it.loop.Stop();
 }
 
+// A record that the store takes for invalid was sent again without end, and no
+// later record was ever stored.
+TEST(RecordLog, RefusedRecordDoesNotHoldUpOthers) {
+  LogFixture it(3);
+  constexpr size_t kUnexpectedLimit = 1000;
+  it.store.max_record_bytes = kUnexpectedLimit;
+  std::string outcome;
+  const auto append = [&](const std::string& key, size_t bytes) {
+    it.loop.Post([&it, &outcome, key, bytes] {
+      it.log->Append({RecordOf(key, bytes)}, [&outcome, key](bool stored) {
+        outcome += key + (stored ? "+" : "-");
+      });
+    });
+  };
+  append("a", 1);
+  it.loop.Start();
+  it.RunFor(60);
+  append("b", 1);
+  append("c", kUnexpectedLimit);
+  append("d", 1);
+  it.RunFor(30);
+  append("e", 1);  // In a call of its own, behind the refused one.
+  append("f", kUnexpectedLimit);
+  append("g", 1);
+  it.RunFor(800);
+  it.loop.Stop();
+  STRCMP_EQUAL("a+b+c-d+e+f-g+", outcome.c_str());
+  STRCMP_EQUAL("abdeg", it.StoredKeys().c_str());
+  CHECK_EQUAL(2U, it.log->Count().refused);
+  CHECK_EQUAL(0, it.fenced);
+}
+
+// What exceeds the store's limits is known before it is sent.
+TEST(RecordLog, TooLargeRecordIsNotSent) {
+  LogFixture it(3);
+  std::string outcome;
+  it.loop.Post([&] {
+    it.log->Append({RecordOf("a", LogFixture::kRecordBytes)},
+                   [&](bool stored) { outcome += stored ? "a+" : "a-"; });
+    it.log->Append({RecordOf("b", 1)},
+                   [&](bool stored) { outcome += stored ? "b+" : "b-"; });
+  });
+  it.loop.Start();
+  it.RunFor(60);
+  it.loop.Stop();
+  STRCMP_EQUAL("a-b+", outcome.c_str());
+  STRCMP_EQUAL("b", it.StoredKeys().c_str());
+  CHECK_EQUAL(1, it.store.appends);
+}
+
+// The records of one job exceeded a call of the store, which refused them for
+// good.
+TEST(RecordLog, BatchBeyondOneCallTakesSeveral) {
+  LogFixture it(3);
+  std::string outcome;
+  it.loop.Post([&] {
+    std::vector<std::string> records;
+    for (const char* key : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}) {
+      records.push_back(RecordOf(key, LogFixture::kRecordBytes - 2));
+    }
+    it.log->Append(std::move(records),
+                   [&](bool stored) { outcome += stored ? "1+" : "1-"; });
+    it.log->Append({RecordOf("k", 1)},
+                   [&](bool stored) { outcome += stored ? "2+" : "2-"; });
+    CHECK(it.log->HasBacklog());
+  });
+  it.loop.Start();
+  it.RunFor(300);
+  it.loop.Stop();
+  STRCMP_EQUAL("1+2+", outcome.c_str());
+  STRCMP_EQUAL("abcdefghijk", it.StoredKeys().c_str());
+  CHECK(!it.log->HasBacklog());
+}
+
+// Some records of a batch are refused: the later ones must not be stored, as
+// the first one of them may refer to a refused one.
+TEST(RecordLog, RestOfARefusedBatchIsNotStored) {
+  LogFixture it(3);
+  it.store.max_record_bytes = LogFixture::kRecordBytes / 2;
+  std::string outcome;
+  it.loop.Post([&] {
+    std::vector<std::string> records;
+    for (const char* key : {"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}) {
+      records.push_back(RecordOf(key, LogFixture::kRecordBytes - 2));
+    }
+    records.push_back(RecordOf("k", 1));
+    it.log->Append(std::move(records),
+                   [&](bool stored) { outcome += stored ? "1+" : "1-"; });
+    it.log->Append({RecordOf("l", 1)},
+                   [&](bool stored) { outcome += stored ? "2+" : "2-"; });
+  });
+  it.loop.Start();
+  it.RunFor(300);
+  it.loop.Stop();
+  STRCMP_EQUAL("1-2+", outcome.c_str());
+  STRCMP_EQUAL("l", it.StoredKeys().c_str());
+}
+
+// A call behind a refused one got no reply and may be executed late: its
+// sequence number must not be used for other records.
+TEST(RecordLog, CallInDoubtBehindARefusedOneEndsTheOwnership) {
+  LogFixture it(3);
+  constexpr size_t kUnexpectedLimit = 1000;
+  it.AppendRecord("a");
+  it.loop.Start();
+  it.RunFor(60);
+  it.store.max_record_bytes = kUnexpectedLimit;
+  it.loop.Post([&it] {
+    it.log->Append({RecordOf("b", kUnexpectedLimit)}, [](bool) {});
+  });
+  std::this_thread::sleep_for(milliseconds(40));
+  it.loop.Post([&it] {
+    it.store.fault_mode = fake::MemoryStore::FaultMode::kDropCalls;
+    it.log->Append({RecordOf("c", 1)}, [](bool) {});
+  });
+  std::this_thread::sleep_for(milliseconds(40));
+  CHECK_EQUAL(0, it.fenced);
+  it.RunFor(60);
+  it.loop.Stop();
+  CHECK(it.fenced > 0);
+}
+
 // With a slow store, records must be sent without waiting for the responses to
 // earlier ones, and still be confirmed in order.
 TEST(RecordLog, SlowAnswersDoNotHoldUpLaterRecords) {
   LogFixture it(3);
   std::vector<int> confirmed;
   it.loop.Post([&] {
-    it.log->Append({platform::MakeKeyedRecord("first", "1")}, [] {});
+    it.log->Append({platform::MakeKeyedRecord("first", "1")}, [](bool) {});
   });
   it.loop.Start();
   it.RunFor(40);
@@ -439,7 +577,7 @@
   for (int n = 0; n < 3; ++n) {
     it.loop.Post([&, n] {
       it.log->Append({platform::MakeKeyedRecord("k" + std::to_string(n), "1")},
-                     [&confirmed, n] { confirmed.push_back(n); });
+                     [&confirmed, n](bool) { confirmed.push_back(n); });
     });
     std::this_thread::sleep_for(milliseconds(40));  // No response so far.
   }
@@ -462,7 +600,7 @@
   it.loop.Start();
   for (int n = 0; n < kSlowAppends; ++n) {
     it.loop.Post([&] {
-      it.log->Append({platform::MakeKeyedRecord("a", "1")}, [] {});
+      it.log->Append({platform::MakeKeyedRecord("a", "1")}, [](bool) {});
       it.log->Flush(BootClock::now() - kResponseTime);
     });
     it.RunFor(10);
@@ -471,7 +609,7 @@
   const int before = it.store.appends;
   const Time now = BootClock::now();
   const auto appends_at = [&](milliseconds after) {
-    it.log->Append({platform::MakeKeyedRecord("b", "1")}, [] {});
+    it.log->Append({platform::MakeKeyedRecord("b", "1")}, [](bool) {});
     it.log->Flush(now + after);
     return it.store.appends - before;
   };
@@ -484,9 +622,9 @@
 
 TEST(RecordLog, OnlyUnsentRecordsCanBeWithdrawn) {
   LogFixture it(3);
-  const uint64_t first = it.log->Append({"xa"}, [] {});
+  const uint64_t first = it.log->Append({"xa"}, [](bool) {});
   it.log->Flush(BootClock::now());
-  const uint64_t second = it.log->Append({"xb"}, [] {});
+  const uint64_t second = it.log->Append({"xb"}, [](bool) {});
   CHECK(!it.log->CancelUnsent(first));
   CHECK(it.log->CancelUnsent(second));
 }
@@ -498,7 +636,7 @@
   it.store.fault_mode = fake::MemoryStore::FaultMode::kRejectCalls;
   const Time sent = BootClock::now();
   CHECK(it.log->StalledFor(sent) == Duration::zero());
-  it.log->Append({platform::MakeKeyedRecord("a", "1")}, [] {});
+  it.log->Append({platform::MakeKeyedRecord("a", "1")}, [](bool) {});
   it.log->Flush(sent);
   it.loop.Start();
   it.RunFor(100);
--- a/test/support/entry_fleet.cc
+++ b/test/support/entry_fleet.cc
@@ -243,6 +243,7 @@
       {"advice", Local(ports_)},
       {"platform.ttlMinMs", "1000"},
       {"platform.callBytes", "2097152"},
+      {"platform.recordBytes", "262144"},
       {"timingBounds.holdMaxMs", "10000"},
       {"timingBounds.revokeMs", "5000"},
       {"timingBounds.graceS", std::to_string(options_.grace_s)},
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -34,7 +34,7 @@
   struct Batch {
     uint64_t number = 0;
     std::vector<std::string> records;
-    std::function<void()> done;
+    std::function<void(bool stored)> done;
   };
 
   void Start(const BackendEntry& to,
@@ -62,7 +62,7 @@
     return accepts_queries;
   }
   uint64_t StoreRecords(std::vector<std::string> records,
-                        std::function<void()> done) override {
+                        std::function<void(bool stored)> done) override {
     pending_batches.push_back(
         {++last_batch, std::move(records), std::move(done)});
     return last_batch;
@@ -76,6 +76,7 @@
     }
     return false;
   }
+  bool HasStoreBacklog() const override { return store_backlog; }
   size_t CountAdviceInstances() const override { return advice_instances; }
   size_t CountIdleAdviceInstances() const override { return advice_instances; }
   void OnFenced() override { fenced = true; }
@@ -96,20 +97,29 @@
     }
   }
 
-  /// Stores the oldest pending batch. @return Its callback.
+  /// Stores the oldest pending batch, or refuses it if it has a record of one
+  /// of the `refused_keys`. @return Its callback.
   std::function<void()> StoreNext() {
     Batch batch = std::move(pending_batches.front());
     pending_batches.pop_front();
+    const bool refused = std::any_of(
+        batch.records.begin(), batch.records.end(), [&](const auto& it) {
+          return refused_keys.contains(platform::ReadKeyedRecord(it).key);
+        });
+    if (refused) {
+      return [batch] { batch.done(false); };
+    }
     for (const auto& it : batch.records) {
       largest_record = std::max(largest_record, it.size());
       const auto record = platform::ReadKeyedRecord(it);
+      log.push_back(record);
       if (record.value.empty()) {
         stored.erase(record.key);
       } else {
         stored[record.key] = record.value;
       }
     }
-    return batch.done;
+    return [batch] { batch.done(true); };
   }
 
   mutable Time clock{Duration(0)};
@@ -118,6 +128,8 @@
   std::set<ZoneId> evacuated;
   int starts_held_back = 0;
   bool store_available = true;
+  bool store_backlog = false;
+  std::set<std::string> refused_keys;
   bool accepts_queries = true;
   size_t advice_instances = 1;
   bool fenced = false;
@@ -130,6 +142,7 @@
   std::vector<AdviceQuery> advice_queries;
   std::deque<Batch> pending_batches;
   std::map<std::string, std::string> stored;
+  std::vector<platform::KeyedRecord> log;  ///< All records stored, in order.
   uint64_t last_batch = 0;
   size_t largest_record = 0;  ///< Of those stored, in bytes.
 };
