Fix: [Cell] A restarted server refuses all orders from before its restart

Cause: fence, stopped and ended runs and the lease end on the server's clock end with an incarnation; the id that orders name does not. OnNewIncarnation took each confirmed run as gone for good, also one whose first start order had no answer and was repeated.

Ruled out: relays as the only way; unit tests without one show the same.

Change: the fencing token is 1000 times the owner's number plus the restarts of that server that the owner knows. Runs with an unanswered copy of their start count as gone once a poll with the raised token is answered without them; all others at once, as before. The answer to a poll from before closes nothing. An order refused for an older token does not end the ownership.

Why it works: the first poll of the new incarnation, which is sent anyway, fences all earlier orders there: starts, stops, renewals and acknowledgements; until then a start that slipped in is on its list, and its task is not started elsewhere.

--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -117,8 +117,9 @@
   /// A run that is or may be active on a backend server.
   struct LiveRun {
     RunPhase phase = RunPhase::kStarting;
-    Resources need;  ///< Counts against its account's maximum.
-    Resources room;  ///< Taken from its server's capacity.
+    uint64_t fencing_token = 0;  ///< Of its newest start order.
+    Resources need;              ///< Counts against its account's maximum.
+    Resources room;              ///< Taken from its server's capacity.
     TeamId team;
     bool job_unknown = false;   ///< Its job and its resources are unknown.
     bool from_scratch = false;  ///< Started here without a checkpoint.
@@ -157,6 +158,8 @@
     Resources used;          ///< Resources occupied by `runs`.
     std::map<RunRef, LiveRun> runs;
     uint32_t unknown_job_runs = 0;  ///< Number of `runs` with `job_unknown`.
+    uint32_t token_raises = 0;      ///< Restarts that this owner has noticed.
+    uint64_t poll_token = 0;        ///< Fencing token of the last poll sent.
     bool poll_in_flight = false;
     Time next_poll_at = kNever;
     /// When leases granted by former owners or by unanswered orders have
@@ -294,6 +297,8 @@
   uint32_t ServiceNumber(const std::string& service);
   bool IsInUse(const Server& server) const;
   void OnNewIncarnation(Server* server, Time now);
+  uint64_t FencingToken(const Server& server) const;
+  void OnOrderFenced(Server* server, Time now);
   void StoreServerRecordIfNeeded(Server* server, Time now);
   void DropServerIfIdle(const BackendId& id);
   void SendPoll(Server* server, Time now);
--- a/src/cell_order.cc
+++ b/src/cell_order.cc
@@ -59,6 +59,7 @@
   live->start_sent_at = now;
   live->from_scratch = task->checkpoint.empty();
   platform::StartOrder order = MakeStartOrder(server, run, *job, *task, now);
+  live->fencing_token = order.fencing_token;
   LogEvent(Part::kPlacer, "run_start",
            {{"task", platform::TaskName(run.task)},
             {"run", run.number},
@@ -76,7 +77,7 @@
   platform::StartOrder out;
   out.run = run;
   out.payload = job.spec.payload;
-  out.fencing_token = options_.fencing_token;
+  out.fencing_token = FencingToken(*server);
   out.checkpoint = task.checkpoint;
   out.lease_end_ms = ServerClockMs(*server, now) +
                      static_cast<uint64_t>(options_.lease.count());
@@ -118,8 +119,9 @@
             {"run", run.number},
             {"backend", server->entry.id.value},
             {"after_ms", AgeMs(live->start_sent_at, now)}});
-  port_->Start(server->entry, MakeStartOrder(server, run, *job, *task, now),
-               /*repeated=*/true);
+  platform::StartOrder order = MakeStartOrder(server, run, *job, *task, now);
+  live->fencing_token = order.fencing_token;
+  port_->Start(server->entry, std::move(order), /*repeated=*/true);
   return true;
 }
 
@@ -144,7 +146,7 @@
   }
   live->stop_in_flight = true;
   live->stop_sent_at = now;
-  port_->Stop(server->entry, run);
+  port_->Stop(server->entry, run, FencingToken(*server));
 }
 
 void Cell::OnStopResponse(const BackendId& backend,
@@ -164,8 +166,19 @@
     live->second.stop_confirmed_at = now;
     it->second.next_poll_at = kNever;
   } else if (result == OrderResult::kFenced) {
+    OnOrderFenced(&it->second, now);
+  }
+}
+
+/// Handles the rejection of a start or stop for its fencing token. The token
+/// may have been raised since the order was sent; a poll has the newest one.
+void Cell::OnOrderFenced(Server* server, Time now) {
+  if (server->token_raises == 0) {
     port_->OnFenced();
+    return;
   }
+  server->lists_read = false;
+  server->next_poll_at = now;
 }
 
 /// Handles a start that may have been executed and may still be.
@@ -196,15 +209,17 @@
                            OrderResult result,
                            Time sent,
                            Time now) {
-  if (result == OrderResult::kFenced) {
-    port_->OnFenced();
-    return;
-  }
   auto it = servers_.find(backend);
   if (it == servers_.end()) {
     return;
   }
   Server* server = &it->second;
+  if (result == OrderResult::kFenced) {
+    OnOrderFenced(server, now);
+    if (server->token_raises == 0) {
+      return;
+    }
+  }
   auto found = server->runs.find(run);
   if (found == server->runs.end()) {
     return;
--- a/src/cell_place.cc
+++ b/src/cell_place.cc
@@ -381,7 +381,7 @@
 uint64_t Cell::NextRun(const Job& job, const Task& task) const {
   constexpr uint64_t kRunsPerOwner = 1000;
   const uint64_t base =
-      job.from_former_owner ? options_.fencing_token * kRunsPerOwner : 0;
+      job.from_former_owner ? options_.owner_number * kRunsPerOwner : 0;
   return std::max(task.run, base) + 1;
 }
 
--- a/src/cell_port.h
+++ b/src/cell_port.h
@@ -16,7 +16,9 @@
 
 /// Limits and durations of a cell, from the settings.
 struct CellOptions {
-  uint64_t fencing_token = 0;  ///< Higher than any former owner's.
+  /// Number of the ownership, higher than any former owner's. Fencing tokens
+  /// are derived from it.
+  uint64_t owner_number = 0;
   /// Longest lease that backend servers accept.
   milliseconds max_lease{10'000};
   milliseconds lease{6'500};  ///< Lease duration requested; below `max_lease`.
@@ -39,7 +41,9 @@
                      platform::StartOrder order,
                      bool repeated) = 0;
   /// Sends a stop order. Response: Cell::OnStopResponse.
-  virtual void Stop(const BackendEntry& to, const RunRef& run) = 0;
+  virtual void Stop(const BackendEntry& to,
+                    const RunRef& run,
+                    uint64_t fencing_token) = 0;
   /// Polls a backend server: renews leases, acknowledges ends and reads its
   /// lists. Response: Cell::OnPollResponse.
   virtual void Poll(const BackendEntry& to, platform::PollRequest request) = 0;
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -601,7 +601,7 @@
            {{"jobs", jobs_.size()},
             {"ended", ended_.size()},
             {"backends", servers_.size()},
-            {"token", options_.fencing_token}});
+            {"owner_number", options_.owner_number}});
 }
 
 void Cell::DropExpiredJobs(uint64_t wall_ms) {
--- a/src/cell_server.cc
+++ b/src/cell_server.cc
@@ -9,6 +9,8 @@
 namespace bw {
 namespace {
 
+/// Fencing tokens of one owner for one backend server.
+constexpr uint32_t kTokensPerOwner = 1000;
 /// Minimum rate of a backend server's clock; see PROTOCOL, "Running tasks".
 constexpr double kSlowestClock = 0.98;
 /// Safety margin after the end of a lease, in ms of the server's clock.
@@ -133,17 +135,30 @@
   }
 }
 
+/// @return The fencing token of orders to a backend server. It is raised with
+/// each restart: the new incarnation knows nothing of what it has refused or
+/// ended before, and would execute an order that was held up until then.
+uint64_t Cell::FencingToken(const Server& server) const {
+  return options_.owner_number * kTokensPerOwner +
+         std::min(server.token_raises, kTokensPerOwner - 1);
+}
+
 /// Handles a restart of a backend server: its earlier runs are gone. Orders
-/// without a response may still be executed, and those sent since its last
-/// report may have reached the new incarnation; its lists show which did.
+/// without a response may still be executed, also a start that was repeated
+/// since, and those sent since its last report may have reached the new
+/// incarnation. The answer to a poll with the raised token shows which did: it
+/// refuses all others from then on.
 void Cell::OnNewIncarnation(Server* server, Time now) {
+  ++server->token_raises;
   std::vector<RunRef> lost;
+  uint32_t in_doubt = 0;
   for (auto& it : server->runs) {
     LiveRun& live = it.second;
     const bool since_report = live.start_sent_at != kNever &&
                               live.start_sent_at >= server->report_sent_at;
-    if (since_report || live.phase == RunPhase::kUnconfirmed ||
+    if (since_report || live.repeated || live.phase == RunPhase::kUnconfirmed ||
         live.phase == RunPhase::kStarting) {
+      ++in_doubt;
       live.stop_confirmed_at = kNever;
       live.stop_sent_at = kNever;
     } else {
@@ -167,6 +182,11 @@
       now +
       std::chrono::duration_cast<Duration>(options_.max_lease / kSlowestClock) +
       milliseconds(kLapseSlackMs);
+  LogEvent(Part::kPlacer, "backend_restarted",
+           {{"backend", server->entry.id.value},
+            {"token", FencingToken(*server)},
+            {"runs_lost", lost.size()},
+            {"runs_in_doubt", in_doubt}});
   for (const auto& it : lost) {
     OnRunGone(server, it, "new incarnation", now);
   }
@@ -305,7 +325,8 @@
 
 void Cell::SendPoll(Server* server, Time now) {
   platform::PollRequest request;
-  request.fencing_token = options_.fencing_token;
+  request.fencing_token = FencingToken(*server);
+  server->poll_token = request.fencing_token;
   const bool same_incarnation =
       server->suspect_until <= now && server->clock_read_at != kNever &&
       now - server->clock_read_at < kMaxReportAgeForAck;
@@ -338,10 +359,17 @@
   }
   Server* server = &it->second;
   server->poll_in_flight = false;
-  if (report.result == OrderResult::kFenced) {
+  const bool token_raised = server->poll_token < FencingToken(*server);
+  if (report.result == OrderResult::kFenced && !token_raised) {
     port_->OnFenced();
     return;
   }
+  if (token_raised && (report.result == OrderResult::kDone ||
+                       report.result == OrderResult::kFenced)) {
+    // Sent before a restart was noticed: other late orders may follow it.
+    server->next_poll_at = now;
+    return;
+  }
   if (report.result != OrderResult::kDone) {
     if (server->suspect_until <= now) {
       LogEvent(Part::kPlacer, "backend_lost",
@@ -370,6 +398,8 @@
     OnNewIncarnation(server, now);
     server->entry.incarnation = report.incarnation;
     server->listed = false;  // Until its new entry arrives.
+    server->suspect_until = kNever;
+    return;
   }
   if (server->suspect_until > now) {
     LogEvent(Part::kPlacer, "backend_back", {{"backend", backend.value}});
@@ -445,7 +475,8 @@
   }
 }
 
-/// Removes runs that are on neither list. @pre The report lists all ends.
+/// Removes runs that are on neither list. @pre The report lists all ends and
+/// answers a poll with the newest fencing token.
 void Cell::RemoveUnlistedRuns(Server* server,
                               const BackendReport& report,
                               Time sent,
@@ -460,8 +491,11 @@
     const Time confirmed_at = live.phase == RunPhase::kUnconfirmed
                                   ? live.stop_confirmed_at
                                   : live.start_confirmed_at;
-    if (!listed.contains(it.first) && confirmed_at != kNever &&
-        confirmed_at < sent) {
+    // No copy of its start order is executed any more.
+    const bool fenced = live.start_sent_at != kNever &&
+                        live.fencing_token < FencingToken(*server);
+    if (!listed.contains(it.first) &&
+        (fenced || (confirmed_at != kNever && confirmed_at < sent))) {
       gone.push_back(it.first);
     }
   }
--- a/src/owner.cc
+++ b/src/owner.cc
@@ -62,7 +62,7 @@
   advice_pool_ = AdvicePool();
   order_timeout_ = OrderTimeout();
   CellOptions options = options_;
-  options.fencing_token = epoch_;
+  options.owner_number = epoch_;
   options.wall_ms = wall_.Read(gained_at_);
   cell_ = std::make_unique<Cell>(options, static_cast<CellPort*>(this));
   log_ = std::make_unique<RecordLog>(
@@ -374,11 +374,14 @@
           }));
 }
 
-void Owner::Stop(const BackendEntry& to, const RunRef& run) {
+void Owner::Stop(const BackendEntry& to,
+                 const RunRef& run,
+                 uint64_t fencing_token) {
   parts_.metrics->Count("bw_orders_total", R"(kind="stop")");
   relay_.Send(
-      to, platform::MakeStopCall(to, run, epoch_, order_timeout_.Final()), {},
-      BindToTenure([this, id = to.id, run](const net::HttpResult& result) {
+      to,
+      platform::MakeStopCall(to, run, fencing_token, order_timeout_.Final()),
+      {}, BindToTenure([this, id = to.id, run](const net::HttpResult& result) {
         cell_->OnStopResponse(id, run, platform::ParseOrderResult(result),
                               BootClock::now());
       }));
--- a/src/owner_base.h
+++ b/src/owner_base.h
@@ -95,7 +95,9 @@
   void Start(const BackendEntry& to,
              platform::StartOrder order,
              bool repeated) override;
-  void Stop(const BackendEntry& to, const RunRef& run) override;
+  void Stop(const BackendEntry& to,
+            const RunRef& run,
+            uint64_t fencing_token) override;
   void Poll(const BackendEntry& to, platform::PollRequest request) override;
   bool QueryAdvice(const StepRef& step,
                    const std::vector<BackendId>& backends,
--- a/test/support/cell_harness.h
+++ b/test/support/cell_harness.h
@@ -28,6 +28,7 @@
   bool slow_stops = false;    ///< Stopped runs go on until it is false again.
   bool listed = true;         ///< A new owner finds its entry.
   int lost_answers = 0;       ///< So many starts are executed but not answered.
+  int held_up = 0;  ///< So many starts are neither executed nor answered.
   size_t max_listed_ends = 500;           ///< Ends in one report.
   std::set<RunRef> idle_runs;             ///< Runs that use no processor time.
   std::map<RunRef, std::string> running;  ///< Latest checkpoint of each run.
@@ -62,7 +63,11 @@
     ended.push_back({++last_end, run, how, {}});
   }
 
-  OrderResult Stop(const RunRef& run) {
+  OrderResult Stop(const RunRef& run, uint64_t fencing_token) {
+    if (fencing_token < token) {
+      return OrderResult::kFenced;
+    }
+    token = fencing_token;
     if (running.contains(run) && !slow_stops) {
       End(run, RunEnd::kStopped);
     }
@@ -164,7 +169,7 @@
     port.advice_queries.clear();
     port.pending_batches.clear();
     CellOptions options;
-    options.fencing_token = token;
+    options.owner_number = token;
     options.wall_ms = wall_ms;
     options.max_record_bytes = max_record_bytes;
     options.learn_run_times = learn_run_times;
@@ -239,7 +244,10 @@
       start_log.push_back(it);
       FakeBackend& backend = backends.at(it.backend);
       OrderResult result = OrderResult::kUnknown;
-      if (backend.reachable) {
+      if (backend.reachable && backend.held_up > 0) {
+        --backend.held_up;
+        unanswered_starts.push_back(it);
+      } else if (backend.reachable) {
         result = backend.Start(it.order);
         if (backend.lost_answers > 0) {
           --backend.lost_answers;
@@ -253,11 +261,12 @@
     auto stops = std::move(port.stops);
     port.stops.clear();
     for (auto& it : stops) {
-      stop_log.push_back(it);
-      FakeBackend& backend = backends.at(it.first);
-      const auto result =
-          backend.reachable ? backend.Stop(it.second) : OrderResult::kUnknown;
-      cell->OnStopResponse(it.first, it.second, result, now);
+      stop_log.emplace_back(it.backend, it.run);
+      FakeBackend& backend = backends.at(it.backend);
+      const auto result = backend.reachable
+                              ? backend.Stop(it.run, it.fencing_token)
+                              : OrderResult::kUnknown;
+      cell->OnStopResponse(it.backend, it.run, result, now);
     }
     auto polls = std::move(port.polls);
     port.polls.clear();
@@ -314,7 +323,7 @@
   bool learn_run_times = false;  ///< Of owners that start later.
   bool store_enabled = true;     ///< False: the store accepts nothing.
   std::vector<FakeCellPort::SentStart> start_log;
-  /// Starts sent to unreachable servers.
+  /// Starts that were held up or sent to unreachable servers.
   std::vector<FakeCellPort::SentStart> unanswered_starts;
   std::vector<std::pair<BackendId, RunRef>> stop_log;
   std::vector<std::pair<BackendId, BackendReport>> held_reports;
--- a/test/support/fake_cell_port.h
+++ b/test/support/fake_cell_port.h
@@ -22,6 +22,11 @@
     BackendId backend;
     platform::StartOrder order;
   };
+  struct SentStop {
+    BackendId backend;
+    RunRef run;
+    uint64_t fencing_token = 0;
+  };
   struct SentPoll {
     BackendId backend;
     platform::PollRequest request;
@@ -45,8 +50,10 @@
       on_start(starts.back());
     }
   }
-  void Stop(const BackendEntry& to, const RunRef& run) override {
-    stops.emplace_back(to.id, run);
+  void Stop(const BackendEntry& to,
+            const RunRef& run,
+            uint64_t fencing_token) override {
+    stops.push_back({to.id, run, fencing_token});
   }
   void Poll(const BackendEntry& to, platform::PollRequest request) override {
     polls.push_back({to.id, std::move(request)});
@@ -137,7 +144,7 @@
   std::function<void(const SentStart&)> on_start;
   std::function<void(const AdviceQuery&)> on_advice_query;
   std::vector<SentStart> starts;
-  std::vector<std::pair<BackendId, RunRef>> stops;
+  std::vector<SentStop> stops;
   std::vector<SentPoll> polls;
   std::vector<AdviceQuery> advice_queries;
   std::deque<Batch> pending_batches;
