Fix: [Cell] A job cancelled before its submission arrives does not run

Cause: Cell::Cancel answered for an unknown job without noting it, so Cell::Submit accepted the job later.

Ruled out: refusing calls for their age at the front: their age in sockets and links is not known there, and a link that delays does the same.

Change: the cancel is stored before it is answered, remembered for as long as ended jobs are, and the same account's submission gets 410. Bounded per account and in all; refused with 503 beyond that and while the store is away.

Why it works: whichever instance or owner the submission reaches, it meets the record that was stored before the caller was told.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -181,6 +181,9 @@
     }
     return;
   }
+  if (RefuseCancelled(id, team, &done)) {
+    return;
+  }
   const CellQueue* policy = config_ ? config_->FindQueue(queue) : nullptr;
   if (policy == nullptr) {
     done(Refuse(CellStatus::kUnknownQueue, "queue not known yet"));
@@ -467,7 +470,7 @@
   }
   Job* job = FindJob(id);
   if (job == nullptr) {
-    done(Refuse(CellStatus::kUnknownJob, "no such job"));
+    CancelUnknown(id, team, std::move(done));
     return;
   }
   if (job->team != team) {
@@ -623,6 +626,7 @@
       return now - it.second > kRetryWindow;
     });
     DropExpiredJobs(wall_ms);
+    DropExpiredCancels(wall_ms);
   }
 }
 
@@ -657,6 +661,7 @@
   out.jobs = jobs_.size();
   out.servers = servers_.size();
   out.waiting_steps = ready_.Size();
+  out.early_cancels = early_cancels_.size();
   for (const auto& it : servers_) {
     const Server& server = it.second;
     out.runs += server.runs.size();
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -60,6 +60,8 @@
   /// place. The time until the caller should try again is spread over jobs.
   CellOutcome RefuseOverload(const JobId& id, const char* reason) const;
   CellOutcome State(const JobId& id, const TeamId& team) const;
+  /// Cancels a job. A job that is not known is not accepted either if its
+  /// submission arrives later.
   void Cancel(const JobId& id, const TeamId& team, Time now, CellDone done);
   uint64_t CountWaiting(const QueueId& queue) const;
 
@@ -101,6 +103,7 @@
     /// Expected time of those queries, cumulative.
     uint64_t advice_query_ms = 0;
     uint64_t advice_busy = 0;  ///< Queries refused as all instances were busy.
+    size_t early_cancels = 0;  ///< Jobs cancelled before they were submitted.
   };
   Counts Count() const;
   /// @return Number of listed backend servers of each availability zone that
@@ -262,6 +265,15 @@
     std::vector<CellDone> waiting_accept;
     std::vector<CellDone> waiting_cancel;
   };
+  /// A job that was cancelled while it was not known. Its submission may still
+  /// be on its way.
+  struct EarlyCancel {
+    TeamId team;
+    uint64_t cancelled_ms = 0;  ///< Wall clock.
+    bool stored = false;
+    /// Calls to answer once it is stored, and their outcomes then.
+    std::vector<std::pair<CellDone, CellOutcome>> waiting;
+  };
   struct EndedJob {
     TeamId team;
     QueueId queue;
@@ -290,6 +302,15 @@
   bool HasBeenLate(uint32_t priority, Time now);
   const char* OverloadReason(const Job& job, Time now);
   void OnEndStored(const JobId& id, const EndedJob& ended);
+
+  // cell_early_cancel.cc: cancels of jobs that are not known.
+  void CancelUnknown(const JobId& id, const TeamId& team, CellDone done);
+  bool RefuseCancelled(const JobId& id, const TeamId& team, CellDone* done);
+  void OnEarlyCancelStored(const JobId& id, bool stored);
+  void EraseEarlyCancel(const JobId& id);
+  void LoadEarlyCancel(const JobId& id, const std::string& value);
+  void DropExpiredCancels(uint64_t wall_ms);
+  uint64_t RetentionMs() const;
   CellOutcome Refuse(CellStatus status, const char* reason) const;
 
   // cell_server.cc: backend servers; cell_run.cc: runs.
@@ -518,6 +539,8 @@
   std::shared_ptr<const CellConfig> config_;
   std::unordered_map<JobId, Job> jobs_;
   std::map<JobId, EndedJob> ended_;
+  std::unordered_map<JobId, EarlyCancel> early_cancels_;
+  std::map<TeamId, size_t> early_cancel_counts_;  ///< By client account.
   std::map<JobId, std::string> loaded_progress_;
   std::map<std::string, std::string> loaded_parts_;  ///< Further records.
   /// Keys that were loaded with further records, and which.
--- a/src/cell_port.h
+++ b/src/cell_port.h
@@ -100,6 +100,7 @@
   kStoreUnavailable,  ///< Not accepted: the store is unavailable.
   kMalformed,         ///< Not accepted: the job cannot be parsed.
   kUnknown,           ///< Outcome unknown: may have been accepted.
+  kCancelledBefore,   ///< Not accepted: cancelled before it was submitted.
 };
 
 /// Response to a call.
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -1,7 +1,8 @@
 // The cell's persisted records, by key: "s:JOB" is a job as submitted, until it
-// ends; "p:JOB" is its progress, then its final state; "b:BACKEND" is a backend
-// server that may run tasks. "KEY/SET/1" and so on hold the value of a key that
-// is too large for one record.
+// ends; "p:JOB" is its progress, then its final state; "c:JOB" is a job that
+// was cancelled before it was submitted; "b:BACKEND" is a backend server that
+// may run tasks. "KEY/SET/1" and so on hold the value of a key that is too
+// large for one record.
 
 #include <algorithm>
 #include <charconv>
@@ -345,6 +346,8 @@
     LoadJob(JobId(name), value, now);
   } else if (key.starts_with("p:")) {
     LoadProgress(JobId(name), value);
+  } else if (key.starts_with("c:")) {
+    LoadEarlyCancel(JobId(name), value);
   } else {
     LogEvent(Part::kPlacer, "record_unreadable", {{"key", key}});
   }
@@ -604,10 +607,14 @@
             {"owner_number", options_.owner_number}});
 }
 
+/// @return How long ended jobs are known, in ms of the wall clock.
+uint64_t Cell::RetentionMs() const {
+  return static_cast<uint64_t>(options_.ended_job_retention.count()) +
+         kClockSkewMs;
+}
+
 void Cell::DropExpiredJobs(uint64_t wall_ms) {
-  const uint64_t retention_ms =
-      static_cast<uint64_t>(options_.ended_job_retention.count()) +
-      kClockSkewMs;
+  const uint64_t retention_ms = RetentionMs();
   std::vector<std::string> records;
   for (auto it = ended_.begin(); it != ended_.end();) {
     if (wall_ms > it->second.ended_ms + retention_ms) {
--- a/src/entry.cc
+++ b/src/entry.cc
@@ -223,6 +223,8 @@
   metrics_.Set("bw_owner", "", owner_.IsActive() ? 1 : 0);
   metrics_.Set("bw_jobs", "", static_cast<double>(counts.jobs));
   metrics_.Set("bw_runs", "", static_cast<double>(counts.runs));
+  metrics_.Set("bw_early_cancels", "",
+               static_cast<double>(counts.early_cancels));
   metrics_.Set("bw_waiting_steps", "",
                static_cast<double>(counts.waiting_steps));
   metrics_.Set("bw_backends", "", static_cast<double>(counts.servers));
--- a/src/front.cc
+++ b/src/front.cc
@@ -300,6 +300,10 @@
       Respond(call, platform::MakeErrorResponse(kGone, outcome.reason, 0),
               "no such job");
       return;
+    case CellStatus::kCancelledBefore:
+      Respond(call, platform::MakeErrorResponse(kGone, outcome.reason, 0),
+              "cancelled before");
+      return;
     case CellStatus::kOtherAccount:
       Refuse(call, kForbidden, "job of another account");
       return;
--- a/test/entry_test.cc
+++ b/test/entry_test.cc
@@ -312,6 +312,35 @@
   STRCMP_EQUAL("", fleet.Audit().c_str());
 }
 
+// A caller's submission waits in a frozen instance. The caller leaves, cancels
+// it at another instance and is told that there is no such job. It was accepted
+// after that.
+TEST(Entry, SubmissionHeldUpInAFrozenInstanceDoesNotRunOnceCancelled) {
+  EntryFleet fleet(3, 2);
+  CHECK(fleet.Start());
+  const int owner = fleet.WaitForOwner();
+  const int frozen = (owner + 1) % 3;
+  const int other = (owner + 2) % 3;
+  LONGS_EQUAL(410, fleet.Call(frozen, "GET", Name(1)).status);
+  fleet.Entry(frozen).Signal(SIGSTOP);
+  int status = 0;
+  std::thread caller([&] {
+    status = fleet.Call(frozen, "POST", Name(1), EntryJob(1, 100)).status;
+  });
+  constexpr milliseconds kUntilItHasArrived{300};
+  std::this_thread::sleep_for(kUntilItHasArrived);
+  LONGS_EQUAL(410, fleet.Call(other, "DELETE", Name(1)).status);
+  fleet.Entry(frozen).Signal(SIGCONT);
+  caller.join();
+  LONGS_EQUAL(410, status);
+  // Also not under another owner.
+  fleet.Entry(owner).Signal(SIGKILL);
+  CHECK(Submit(fleet, other, Name(2), 1, 100));
+  LONGS_EQUAL(410, fleet.Call(other, "POST", Name(1), EntryJob(1, 100)).status);
+  CHECK(Eventually([&] { return fleet.State(other, Name(2)) == "completed"; }));
+  LONGS_EQUAL(1, fleet.AllRuns().size());
+}
+
 /// Calls an instance until it is gone. @return Calls whose connection ended
 /// without a response, later than `slack` after they were sent.
 int CountUnansweredCalls(const EntryFleet& fleet,
