Fix: [Relay] Calls expire on the relay's clock

What it guards against: a relay that was paused sends calls of seconds before. The raised fencing tokens refuse them once the owner has polled a restarted server; before that, a late start of a task that has ended meanwhile would still run.

Cause: RelayServer sent a call whatever its age, as the owner and its relays have no clock in common.

Ruled out: finding pauses by gaps of the relay's own clock: what arrived in its sockets during the pause is read after it.

Change: relays tell their boot clock and the number of their process with their results, and when asked. The owner bounds each batch by an estimate that is never ahead of that clock, and sends calls itself until it knows it. A call that is past its time, or for a former process, goes back as held back.

Tests: Relay.CallsThatArePastTheirTimeAreNotSent fails without the check; Relay.CallsExpireOnTheRelaysClock, Relay.RelayOfUnknownClockIsAskedAndNotUsed.

--- a/src/relay_client.cc
+++ b/src/relay_client.cc
@@ -3,6 +3,7 @@
 #include <sodium.h>
 
 #include <algorithm>
+#include <iterator>
 
 #include "event_log_func.h"
 
@@ -16,6 +17,11 @@
 /// A relay without a connection gets none for the time of a connect.
 constexpr milliseconds kConnectBackoff{200};
 constexpr milliseconds kExpiryInterval{50};
+/// Interval at which relays are asked for their clocks until they answer.
+constexpr milliseconds kQuestionInterval{100};
+/// A call that reaches its relay this much later than its own time-out is not
+/// sent any more.
+constexpr milliseconds kMaxRelayDelay{500};
 /// Calls queued for one relay that are not held back any longer.
 constexpr size_t kMaxBatch = 16;
 /// The mesh's own time-out of a batch, whose results arrive separately.
@@ -40,6 +46,40 @@
     counts[it.first.value] = it.second.size();
   }
   LogEvent(Part::kPlacer, "relays_chosen", {{"by_zone", counts}});
+  AskForClocks(BootClock::now());
+}
+
+void RelayClient::AskForClocks(Time now) {
+  if (now < next_question_ || mesh_ == nullptr) {
+    return;
+  }
+  next_question_ = now + kQuestionInterval;
+  std::vector<std::string> unknown;
+  {
+    std::lock_guard lock(mutex_);
+    for (const auto& it : relays_) {
+      std::copy_if(it.second.begin(), it.second.end(),
+                   std::back_inserter(unknown),
+                   [&](const auto& relay) { return !clocks_.contains(relay); });
+    }
+  }
+  for (const auto& relay : unknown) {
+    proto::Envelope question;
+    question.mutable_relay_request()->set_reply_to(reply_to_);
+    mesh_->SendRequest(relay, std::move(question), kBatchTimeout, {}, [] {});
+  }
+}
+
+/// Notes a relay's clock. The reading was taken before `now`, so that the
+/// estimate made from it is never ahead of the relay's clock.
+void RelayClient::OnClock(const proto::RelayResults& results, Time now) {
+  const uint64_t ahead_us = results.clock_us() - ToMicros(now);
+  std::lock_guard lock(mutex_);
+  RelayClock& clock = clocks_[results.relay()];
+  const bool higher = static_cast<int64_t>(ahead_us - clock.ahead_us) > 0;
+  if (clock.life != results.life() || higher) {
+    clock = {results.life(), ahead_us};
+  }
 }
 
 /// @return Address of the relay; empty if this instance sends the call itself.
@@ -56,7 +96,8 @@
       usable.push_back(relay);
     }
   }
-  return RelayOf(usable, to.id.value);
+  const std::string relay = RelayOf(usable, to.id.value);
+  return clocks_.contains(relay) ? relay : std::string();
 }
 
 void RelayClient::Send(const BackendEntry& to,
@@ -98,6 +139,9 @@
   std::vector<uint64_t> refused;
   {
     std::lock_guard lock(mutex_);
+    const RelayClock& clock = clocks_[relay];
+    request->set_life(clock.life);
+    milliseconds longest{0};
     for (uint64_t number : numbers) {
       const auto it = pending_.find(number);
       if (it == pending_.end()) {
@@ -118,7 +162,10 @@
       }
       out->set_body(pending.call.body);
       out->set_timeout_ms(static_cast<uint32_t>(pending.call.timeout.count()));
+      longest = std::max(longest, pending.call.timeout);
     }
+    request->set_expires_us(
+        ToMicros(BootClock::now() + longest + kMaxRelayDelay) + clock.ahead_us);
   }
   for (auto& it : Extract(refused)) {
     it.done({net::DeliveryStatus::kNotSent, 0, {}, {}});
@@ -143,7 +190,7 @@
 /// Sends a start that its relay held back. Thread-safe.
 void RelayClient::SendHeldBack(uint64_t number) {
   for (auto& it : Extract({number})) {
-    Avoid(it.relay, "cannot read the operator's records", kSilentBackoff);
+    Avoid(it.relay, "held the call back", kSilentBackoff);
     direct_->Send(std::move(it.call), std::move(it.may_send),
                   std::move(it.done));
   }
@@ -173,6 +220,9 @@
 }
 
 void RelayClient::OnResults(const proto::RelayResults& results) {
+  if (!results.relay().empty()) {
+    OnClock(results, BootClock::now());
+  }
   for (const auto& it : results.results()) {
     if (it.status() == kHeldBackByRelay) {
       SendHeldBack(it.number());
@@ -196,6 +246,7 @@
     return;
   }
   next_expiry_ = now + kExpiryInterval;
+  AskForClocks(now);
   std::vector<uint64_t> overdue;
   {
     std::lock_guard lock(mutex_);
--- a/src/relay_client_base.h
+++ b/src/relay_client_base.h
@@ -20,8 +20,10 @@
 
 /// Relays decide nothing. Orders carry the owner's fencing token and lease ends
 /// on the backend server's clock, so an order that a relay holds up is refused
-/// by the server like one that the network holds up. Belongs to the core
-/// thread, except where said otherwise.
+/// by the server like one that the network holds up. A server that has
+/// restarted knows neither, so calls also expire on the relay's clock: one that
+/// was paused does not send them. Belongs to the core thread, except where said
+/// otherwise.
 class RelayClient {
  public:
   /// @param direct Sends the calls that no relay sends. @pre Outlives this.
@@ -41,6 +43,7 @@
   /// Hands all queued calls to their relays.
   void Flush();
   /// Ends calls whose relay does not reply as "unknown", and avoids the relay.
+  /// Asks relays for their clocks.
   void Tick(Time now);
 
   /// Ends calls with the results that a relay sent. Thread-safe.
@@ -54,10 +57,18 @@
     std::function<bool()> may_send;
     net::HttpClient::Done done;
   };
+  /// The boot clock of a relay, as far as it is known.
+  struct RelayClock {
+    uint64_t life = 0;      ///< Number of the relay's process.
+    uint64_t ahead_us = 0;  ///< Lower bound of its clock less this one's,
+                            ///< modulo 2^64.
+  };
   /// Calls that wait for Flush, by relay.
   using Outbox = std::map<std::string, std::vector<uint64_t>>;
 
   std::string ChooseRelay(const BackendEntry& to, Time now);
+  void AskForClocks(Time now);
+  void OnClock(const proto::RelayResults& results, Time now);
   void FlushTo(const std::string& relay, const std::vector<uint64_t>& numbers);
   void SendDirectly(const std::string& relay,
                     const std::vector<uint64_t>& numbers);
@@ -72,9 +83,11 @@
   Outbox outbox_;
   uint64_t last_number_ = 0;  ///< Of a call; starts at random.
   Time next_expiry_ = kNever;
-  std::mutex mutex_;  ///< Guards the members below.
+  Time next_question_ = kNever;  ///< For the clocks of relays.
+  std::mutex mutex_;             ///< Guards the members below.
   std::unordered_map<uint64_t, Pending> pending_;
-  std::map<std::string, Time> avoid_until_;  ///< By relay.
+  std::map<std::string, Time> avoid_until_;   ///< By relay.
+  std::map<std::string, RelayClock> clocks_;  ///< By relay.
 };
 
 }  // namespace bw
--- a/src/relay_func.h
+++ b/src/relay_func.h
@@ -16,7 +16,7 @@
 using RelaysByZone = std::map<ZoneId, std::vector<std::string>>;
 
 /// Status in the result of a call that a relay did not send because it knows
-/// too little of evacuations. No HTTP status.
+/// too little of evacuations, or because the call has expired. No HTTP status.
 inline constexpr int kHeldBackByRelay = 1;
 
 /// Chooses the relays: none in a small cell, whose owner sends all calls
--- a/src/relay_server.cc
+++ b/src/relay_server.cc
@@ -1,5 +1,7 @@
 #include "relay_server_base.h"
 
+#include <sodium.h>
+
 #include "platform/backend.h"
 #include "relay_func.h"
 
@@ -18,7 +20,41 @@
 
 }  // namespace
 
+RelayServer::RelayServer(net::HttpClient* http,
+                         EventLoop* core,
+                         const EvacuationView* evacuations,
+                         ZoneId zone,
+                         std::string address)
+    : http_(http),
+      core_(core),
+      evacuations_(evacuations),
+      zone_(std::move(zone)),
+      address_(std::move(address)) {
+  randombytes_buf(&life_, sizeof(life_));
+}
+
+/// @return A message to an owner, without results yet.
+proto::Envelope RelayServer::MakeResults() const {
+  proto::Envelope out;
+  auto* results = out.mutable_relay_results();
+  results->set_relay(address_);
+  results->set_life(life_);
+  results->set_clock_us(ToMicros(BootClock::now()));
+  return out;
+}
+
 void RelayServer::OnRequest(const proto::RelayRequest& request) {
+  if (request.calls_size() == 0) {
+    mesh_->SendRequest(request.reply_to(), MakeResults(), kResultsTimeout, {},
+                       [] {});  // Asked again then.
+    return;
+  }
+  // The former process at this address had another clock.
+  const uint64_t expires_us =
+      request.life() == life_ ? request.expires_us() : 0;
+  const auto has_expired = [expires_us] {
+    return ToMicros(BootClock::now()) > expires_us;
+  };
   for (const auto& it : request.calls()) {
     net::HttpCall call;
     call.method = it.method();
@@ -29,18 +65,18 @@
     call.body = it.body();
     call.timeout = milliseconds(std::min(it.timeout_ms(), kMaxTimeoutMs));
     const bool start = platform::IsStartCall(call.url);
-    std::function<bool()> may_send;
-    if (start) {
-      may_send = [this] {
-        return evacuations_->MayStartIn(zone_, BootClock::now());
-      };
-    }
+    const auto may_send = [this, start, has_expired] {
+      return !has_expired() &&
+             (!start || evacuations_->MayStartIn(zone_, BootClock::now()));
+    };
     http_->Send(
         std::move(call), std::move(may_send),
-        [this, to = request.reply_to(), number = it.number(),
-         start](net::HttpResult result) {
-          if (start && result.delivery == net::DeliveryStatus::kNotSent &&
-              !evacuations_->IsCurrent(BootClock::now())) {
+        [this, to = request.reply_to(), number = it.number(), start,
+         has_expired](net::HttpResult result) {
+          const bool held_back =
+              has_expired() ||
+              (start && !evacuations_->IsCurrent(BootClock::now()));
+          if (held_back && result.delivery == net::DeliveryStatus::kNotSent) {
             result.status = kHeldBackByRelay;
           }
           Outgoing out;
@@ -79,7 +115,7 @@
     if (queued.empty()) {
       continue;
     }
-    proto::Envelope envelope;
+    proto::Envelope envelope = MakeResults();
     for (const auto& of : queued) {
       *envelope.mutable_relay_results()->add_results() = of.result;
     }
--- a/src/relay_server_base.h
+++ b/src/relay_server_base.h
@@ -15,23 +15,22 @@
 namespace bw {
 
 /// Sends each call once and reports how it ended; decides nothing, except that
-/// starts are held back while this instance knows too little of evacuations.
-/// Results that come in together go back in one message.
+/// starts are held back while this instance knows too little of evacuations,
+/// and calls that have expired on this instance's clock: the process may have
+/// been paused. Results that come in together go back in one message.
 class RelayServer {
  public:
   /// @param evacuations Checked right before a start is sent, as the process
   /// may have been paused since the owner checked.
   /// @param zone Zone of the backend servers that this instance relays for,
   /// which is its own.
+  /// @param address Mesh address of this instance.
   /// @pre All outlive this.
   RelayServer(net::HttpClient* http,
               EventLoop* core,
               const EvacuationView* evacuations,
-              ZoneId zone)
-      : http_(http),
-        core_(core),
-        evacuations_(evacuations),
-        zone_(std::move(zone)) {}
+              ZoneId zone,
+              std::string address);
 
   void SetMesh(net::Mesh* mesh) { mesh_ = mesh; }
 
@@ -48,12 +47,15 @@
   };
 
   void OnResult(const std::string& reply_to, Outgoing out);
+  proto::Envelope MakeResults() const;
   void Flush(Time now);
 
   net::HttpClient* const http_;
   EventLoop* const core_;
   const EvacuationView* const evacuations_;
   const ZoneId zone_;
+  const std::string address_;
+  uint64_t life_ = 0;  ///< Random number of this process.
   net::Mesh* mesh_ = nullptr;
   std::mutex mutex_;  ///< Guards the members below.
   std::map<std::string, std::deque<Outgoing>> outbox_;  ///< By owner.
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -66,6 +66,9 @@
 }
 
 struct Fixture {
+  static constexpr uint64_t kLife = 7;
+  static constexpr uint64_t kClockUs = 1'000'000'000'000;
+
   FakeHttp http;
   FakeMesh mesh;
   RelayClient client{&http};
@@ -74,6 +77,17 @@
   Fixture() {
     client.SetMesh(&mesh);
     client.SetRelays({{ZoneId("a"), {"r1:1", "r2:1"}}}, "owner:1");
+    CHECK_EQUAL(2U, mesh.sent.size());  // The relays' clocks are asked for.
+    mesh.sent.clear();
+    TellClock("r1:1", kClockUs);
+    TellClock("r2:1", kClockUs);
+  }
+  void TellClock(const std::string& relay, uint64_t clock_us) {
+    proto::RelayResults results;
+    results.set_relay(relay);
+    results.set_life(kLife);
+    results.set_clock_us(clock_us);
+    client.OnResults(results);
   }
   void Send(const BackendEntry& to, bool may_send = true) {
     client.Send(
@@ -82,6 +96,20 @@
   }
 };
 
+/// @return A request without calls that expires in a second on the clock of a
+/// relay.
+proto::RelayRequest RequestTo(RelayServer* server, FakeMesh* mesh) {
+  proto::RelayRequest request;
+  request.set_reply_to("owner:1");
+  server->OnRequest(request);
+  const auto clock = mesh->sent.back().envelope.relay_results();
+  mesh->sent.clear();
+  constexpr uint64_t kSecondUs = 1'000'000;
+  request.set_life(clock.life());
+  request.set_expires_us(clock.clock_us() + kSecondUs);
+  return request;
+}
+
 std::vector<FleetMember> Members(int per_zone) {
   std::vector<FleetMember> out;
   for (const char* zone : {"a", "b"}) {
@@ -192,10 +220,9 @@
   FakeMesh mesh;
   EventLoop core{milliseconds(5), milliseconds(5000), [] {}, [] {}};
   const EvacuationView evacuations{milliseconds(0)};
-  RelayServer server(&http, &core, &evacuations, ZoneId("a"));
+  RelayServer server(&http, &core, &evacuations, ZoneId("a"), "r1:1");
   server.SetMesh(&mesh);
-  proto::RelayRequest request;
-  request.set_reply_to("owner:1");
+  proto::RelayRequest request = RequestTo(&server, &mesh);
   for (uint64_t n = 1; n <= 2; ++n) {
     auto* call = request.add_calls();
     call->set_number(n);
@@ -231,9 +258,9 @@
   FakeMesh mesh;
   EventLoop core{milliseconds(5), milliseconds(5000), [] {}, [] {}};
   EvacuationView evacuations{milliseconds(5000)};
-  RelayServer server(&http, &core, &evacuations, ZoneId("a"));
+  RelayServer server(&http, &core, &evacuations, ZoneId("a"), "r1:1");
   server.SetMesh(&mesh);
-  proto::RelayRequest request;
+  proto::RelayRequest request = RequestTo(&server, &mesh);
   auto* call = request.add_calls();
   call->set_method("POST");
   call->set_timeout_ms(500);
@@ -275,4 +302,76 @@
   CHECK_TRUE(it.ended.empty());
 }
 
+// A relay was paused and sent calls of seconds before. The servers they were
+// for had restarted meanwhile.
+TEST(Relay, CallsThatArePastTheirTimeAreNotSent) {
+  FakeHttp http;
+  FakeMesh mesh;
+  EventLoop core{milliseconds(5), milliseconds(5000), [] {}, [] {}};
+  EvacuationView evacuations{milliseconds(0)};
+  RelayServer server(&http, &core, &evacuations, ZoneId("a"), "r1:1");
+  server.SetMesh(&mesh);
+  proto::RelayRequest request = RequestTo(&server, &mesh);
+  auto* call = request.add_calls();
+  call->set_method("POST");
+  call->set_url("http://10.0.0.1:80/v1/hold");
+  call->set_timeout_ms(500);
+  const auto relay = [&] {
+    server.OnRequest(request);
+    server.Tick(BootClock::now());
+    return http.calls.size();
+  };
+  CHECK_EQUAL(1U, relay());
+  const uint64_t now_us = ToMicros(BootClock::now());
+  request.set_expires_us(now_us - 1);
+  CHECK_EQUAL(1U, relay());
+  LONGS_EQUAL(kHeldBackByRelay,
+              mesh.sent.back().envelope.relay_results().results(0).status());
+  // Sent for the former process at this address.
+  constexpr uint64_t kSecondUs = 1'000'000;
+  request.set_expires_us(now_us + kSecondUs);
+  request.set_life(request.life() + 1);
+  CHECK_EQUAL(1U, relay());
+}
+
+// The owner estimates the relay's clock from what the relay last said. A
+// delayed reading makes calls expire early, never late.
+TEST(Relay, CallsExpireOnTheRelaysClock) {
+  Fixture it;
+  const auto expires_after = [&it] {
+    it.Send(ServerIn("a", 1));
+    it.client.Flush();
+    const auto& request = it.mesh.sent.back().envelope.relay_request();
+    LONGS_EQUAL(Fixture::kLife, request.life());
+    return static_cast<int64_t>(request.expires_us() - Fixture::kClockUs);
+  };
+  constexpr int64_t kTimeoutUs = 600'000;  // Of the call, and what is allowed.
+  constexpr int64_t kSlackUs = 100'000;
+  const int64_t first = expires_after();
+  CHECK(first >= kTimeoutUs && first < kTimeoutUs + kSlackUs);
+  it.TellClock("r1:1", Fixture::kClockUs - 5'000'000);
+  it.TellClock("r2:1", Fixture::kClockUs - 5'000'000);
+  CHECK(expires_after() >= first - kSlackUs);
+  it.TellClock("r1:1", Fixture::kClockUs + 5'000'000);
+  it.TellClock("r2:1", Fixture::kClockUs + 5'000'000);
+  CHECK(expires_after() >= first + 5'000'000 - kSlackUs);
+}
+
+// Until a relay has told its clock, the owner sends the calls itself.
+TEST(Relay, RelayOfUnknownClockIsAskedAndNotUsed) {
+  FakeHttp http;
+  FakeMesh mesh;
+  RelayClient client(&http);
+  client.SetMesh(&mesh);
+  mesh.connected = false;
+  client.SetRelays({{ZoneId("a"), {"r1:1"}}}, "owner:1");
+  client.Send(ServerIn("a", 1), MakeCall(), {}, [](const net::HttpResult&) {});
+  client.Flush();
+  CHECK_EQUAL(1U, http.calls.size());
+  mesh.connected = true;
+  client.Tick(BootClock::now() + milliseconds(200));
+  CHECK_EQUAL(1U, mesh.sent.size());
+  LONGS_EQUAL(0, mesh.sent[0].envelope.relay_request().calls_size());
+}
+
 }  // namespace bw::test
