Codechange: [Cell] Cancels of unknown jobs use the cell's own refusals

The file had a function of its own for what Cell::Refuse does, and the pause before a refused record is stored again was defined twice. No change of behaviour: EarlyCancel.* and CellRecord.* pass.

--- a/src/cell.cc
+++ b/src/cell.cc
@@ -22,9 +22,6 @@
 /// refused.
 constexpr milliseconds kStoreTimeout{800};
 
-/// Pause before a record that the store refused is stored again.
-constexpr milliseconds kRefusedRecordPause{1000};
-
 /// Minimum time between two placing passes, as events come in bursts.
 constexpr milliseconds kMinPassInterval{5};
 /// Pause after a pass, as a multiple of its duration: orders and reports need
--- a/src/cell_base.h
+++ b/src/cell_base.h
@@ -514,6 +514,8 @@
   static std::vector<Release> ReleasesOf(const Server& server, Time now);
 
   // cell_record.cc: persisted records.
+  /// Pause before a record that the store refused is stored again.
+  static constexpr milliseconds kRefusedRecordPause{1000};
   struct Changes;
   void StoreChanges();
   void OnProgressStored(const JobId& id, bool stored);
--- a/src/cell_early_cancel.cc
+++ b/src/cell_early_cancel.cc
@@ -16,23 +16,12 @@
 /// Cancels of unknown jobs that are remembered: of all accounts, and of one.
 constexpr size_t kMaxEarlyCancels = 50'000;
 constexpr size_t kMaxEarlyCancelsOfAccount = 10'000;
-constexpr uint32_t kRetryAfterMs = 1000;
-
-CellOutcome MakeOutcome(CellStatus status, const char* reason) {
-  CellOutcome out;
-  out.status = status;
-  out.reason = reason;
-  const bool later = status == CellStatus::kOverloaded ||
-                     status == CellStatus::kStoreUnavailable;
-  out.retry_after_ms = later ? kRetryAfterMs : 0;
-  return out;
-}
 
 }  // namespace
 
 /// Answers that there is no such job, once that will stay true.
 void Cell::CancelUnknown(const JobId& id, const TeamId& team, CellDone done) {
-  auto unknown = MakeOutcome(CellStatus::kUnknownJob, "no such job");
+  CellOutcome unknown = Refuse(CellStatus::kUnknownJob, "no such job");
   auto it = early_cancels_.find(id);
   if (it != early_cancels_.end() && it->second.team == team) {
     if (it->second.stored) {
@@ -43,18 +32,17 @@
     return;
   }
   if (it != early_cancels_.end()) {
-    done(MakeOutcome(CellStatus::kOtherAccount, "job of another account"));
+    done(Refuse(CellStatus::kOtherAccount, "job of another account"));
     return;
   }
   if (!port_->IsStoreResponsive()) {
-    done(MakeOutcome(CellStatus::kStoreUnavailable, "store does not answer"));
+    done(Refuse(CellStatus::kStoreUnavailable, "store does not answer"));
     return;
   }
   size_t& count = early_cancel_counts_[team];
   if (early_cancels_.size() >= kMaxEarlyCancels ||
       count >= kMaxEarlyCancelsOfAccount) {
-    done(MakeOutcome(CellStatus::kOverloaded,
-                     "too many cancels of unknown jobs"));
+    done(Refuse(CellStatus::kOverloaded, "too many cancels of unknown jobs"));
     return;
   }
   ++count;
@@ -84,8 +72,8 @@
   }
   for (const auto& [done, outcome] : waiting) {
     done(stored ? outcome
-                : MakeOutcome(CellStatus::kStoreUnavailable,
-                              "the store refuses its record"));
+                : Refuse(CellStatus::kStoreUnavailable,
+                         "the store refuses its record"));
   }
 }
 
@@ -100,8 +88,8 @@
   }
   LogEvent(Part::kPlacer, "job_refused",
            {{"job", id.value}, {"why", "cancelled before"}});
-  auto outcome = MakeOutcome(CellStatus::kCancelledBefore,
-                             "cancelled before it was submitted");
+  CellOutcome outcome =
+      Refuse(CellStatus::kCancelledBefore, "cancelled before it was submitted");
   if (it->second.stored) {
     (*done)(std::move(outcome));
   } else {
--- a/src/cell_record.cc
+++ b/src/cell_record.cc
@@ -17,8 +17,6 @@
 namespace bw {
 namespace {
 
-/// Pause before a record that the store refused is stored again.
-constexpr milliseconds kRefusedRecordPause{1000};
 /// Added to the guaranteed retention time of ended jobs, as clocks differ.
 constexpr uint64_t kClockSkewMs = 30'000;
 
