Fix: [Test] A zone that was taken back is used once the other one is full

Trace (the instances' logs of that run): zone_taken_back 4,672 ms after the start, all four servers admitted by the advice service, and all 80 further tasks ran, 60 on b1 and 20 on b3, both of the other zone. Three passing runs used the zone for 12 to 44 of 78 to 80 tasks. Tasks are packed onto servers that are in use, so nothing made the owner use that zone: the check held by chance, as did the one before the evacuation.

Change: a job of more tasks than one zone holds is handed in before both checks. The checks and bounds stay.

--- a/test/evacuation_fleet_test.cc
+++ b/test/evacuation_fleet_test.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr int kBackends = 4;
+/// More tasks of EntryJob than the backend servers of one zone hold.
+constexpr int kTasksOfBothZones = 24;
 
 /// @return How many runs began on servers of the first zone, those with even
 /// numbers.
@@ -47,7 +49,14 @@
       std::this_thread::sleep_for(milliseconds(20));
     }
   };
+  // Tasks need not use a zone while the other one has room.
+  const auto fill_both_zones = [&] {
+    return fleet
+        .Call(caller, "POST", NameOf(++jobs), EntryJob(kTasksOfBothZones, 300))
+        .status;
+  };
   submit(20);
+  LONGS_EQUAL(200, fill_both_zones());
   CHECK(Eventually([&] { return RunsInFirstZone(fleet.AllRuns()) > 0; }));
   fleet.Control({{"evacuate", "a"}});
   fleet.Entry(owner).Kill();
@@ -62,6 +71,7 @@
   CHECK_EQUAL(before, RunsInFirstZone(fleet.AllRuns()));
   fleet.Control({{"evacuate", "a"}, {"on", false}});
   submit(40);
+  LONGS_EQUAL(200, fill_both_zones());
   CHECK(Eventually([&] { return RunsInFirstZone(fleet.AllRuns()) > before; }));
   STRCMP_EQUAL("", fleet.Audit().c_str());
 }
