Fix: [Test] The relay of a former life's results has told its clock

Lost.ResultsOfAFormerLifeEndNoOtherCalls crashed since relays are used only once they have told their clocks: its call went out directly, so that the mesh had no request to take the number from. The fixture tells the clock now; the checks stay.

--- a/test/lost_test.cc
+++ b/test/lost_test.cc
@@ -106,6 +106,10 @@
   OwnerLife() {
     client.SetMesh(&mesh);
     client.SetRelays({{ZoneId("a"), {"relay:1"}}}, "owner:1");
+    proto::RelayResults clock;
+    clock.set_relay("relay:1");
+    clock.set_clock_us(1);
+    client.OnResults(clock);
     BackendEntry to;
     to.id = BackendId("b0");
     to.zone = ZoneId("a");
@@ -115,7 +119,7 @@
     client.Flush();
   }
   uint64_t Number() const {
-    return mesh.sent.at(0).relay_request().calls(0).number();
+    return mesh.sent.back().relay_request().calls(0).number();
   }
 };
 
