--- a/review/stand-3/driver.cc
+++ b/review/stand-3/driver.cc
@@ -17,6 +17,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <cstdio>
@@ -25,6 +26,7 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <sstream>
@@ -46,6 +48,7 @@
 constexpr int kZones = 4;
 constexpr int kFrontPort = 7400;
 constexpr int kMeshPort = 7420;
+constexpr int64_t kMemoryMb = 260;
 
 /// `finish_s`, and the spans of rule LOST.
 constexpr int64_t kFinishMs = 14'000;
@@ -110,24 +113,26 @@
 /// Processes that end with this one.
 class Children {
  public:
+  Children() = default;
   ~Children() {
     for (const pid_t it : pids_) {
-      kill(it, SIGKILL);
-      waitpid(it, nullptr, 0);
+      End(it);
     }
   }
+  Children(const Children&) = delete;
+  Children& operator=(const Children&) = delete;
 
-  void Start(const std::vector<std::string>& command,
-             const std::vector<std::string>& environment,
-             const std::string& log) {
+  pid_t Start(const std::vector<std::string>& command,
+              const std::vector<std::string>& environment,
+              const std::string& log) {
     const pid_t parent = getpid();
     const pid_t pid = fork();
     if (pid < 0) {
       throw std::runtime_error("cannot start a process");
     }
     if (pid > 0) {
-      pids_.push_back(pid);
-      return;
+      pids_.insert(pid);
+      return pid;
     }
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != parent) {
@@ -152,10 +157,41 @@
     _exit(kNotRun);
   }
 
+  /// Kills a process.
+  void Kill(pid_t pid) {
+    if (pids_.erase(pid) > 0) {
+      End(pid);
+    }
+  }
+
+  /// @return True if the process has ended by itself; it is forgotten then.
+  bool HasEnded(pid_t pid) {
+    if (!pids_.contains(pid) || waitpid(pid, nullptr, WNOHANG) != pid) {
+      return false;
+    }
+    pids_.erase(pid);
+    return true;
+  }
+
  private:
-  std::vector<pid_t> pids_;
+  static void End(pid_t pid) {
+    kill(pid, SIGKILL);
+    waitpid(pid, nullptr, 0);
+  }
+
+  std::set<pid_t> pids_;
 };
 
+/// @return Resident memory of a process in MB.
+int64_t MemoryMb(pid_t pid) {
+  constexpr int64_t kBytesPerMb = 1 << 20;
+  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+  int64_t size = 0;
+  int64_t resident = 0;
+  file >> size >> resident;
+  return resident * sysconf(_SC_PAGESIZE) / kBytesPerMb;
+}
+
 /// @return The first of `count` consecutive ports that are free.
 int FreePorts(int count) {
   constexpr int kFirst = 20'000;
@@ -200,6 +236,7 @@
         began_(NowMs()) {}
 
   void Note(const std::string& text) {
+    const std::lock_guard lock(mutex_);
     record_ << NowMs() - began_ << " ms: " << text << std::endl;
   }
 
@@ -216,10 +253,7 @@
     }
     Configure();
     for (int n = 0; n < kInstances; ++n) {
-      const std::string settings = folder_ + "/e" + std::to_string(n) + ".ini";
-      std::ofstream(settings) << RenderTemplate(n);
-      children_.Start({"target/bin/bwentry"}, {"BILBERRYWING_BOOT=" + settings},
-                      folder_ + "/e" + std::to_string(n) + ".log");
+      StartInstance(n);
     }
     return Eventually([&] {
       for (int n = 0; n < kInstances; ++n) {
@@ -231,6 +265,21 @@
     });
   }
 
+  /// From now on does what the platform does for the instances: kills those
+  /// that exceed their memory, and starts those again that have ended.
+  void WatchInstances() {
+    watcher_ = std::jthread([this](const std::stop_token& stop) {
+      constexpr int64_t kIntervalMs = 100;
+      for (; !stop.stop_requested(); Pause(kIntervalMs)) {
+        for (int n = 0; n < kInstances; ++n) {
+          WatchInstance(n);
+        }
+      }
+    });
+  }
+
+  int Kills() const { return kills_; }
+
   /// Hands a submission in. @return True if it was accepted.
   bool Submit(const std::string& path, const Json& body, const char* key) {
     const Response out =
@@ -319,6 +368,37 @@
     Call("POST", Platform() + "/control", body.dump());
   }
 
+  void StartInstance(int n) {
+    const std::string name = folder_ + "/e" + std::to_string(n);
+    std::ofstream(name + ".ini") << RenderTemplate(n);
+    instances_[n] = {
+        children_.Start({"target/bin/bwentry"},
+                        {"BILBERRYWING_BOOT=" + name + ".ini"}, name + ".log"),
+        0};
+  }
+
+  void WatchInstance(int n) {
+    constexpr int64_t kRestartMs = 500;
+    Instance& it = instances_[n];
+    if (it.pid == 0) {
+      if (NowMs() >= it.start_at) {
+        StartInstance(n);
+      }
+      return;
+    }
+    const int64_t memory = MemoryMb(it.pid);
+    if (memory > kMemoryMb) {
+      children_.Kill(it.pid);
+      ++kills_;
+      Note("instance " + std::to_string(n) + " is killed: it uses " +
+           std::to_string(memory) + " MB");
+      it = {0, NowMs() + kRestartMs};
+    } else if (children_.HasEnded(it.pid)) {
+      Note("instance " + std::to_string(n) + " has ended by itself");
+      it = {0, NowMs() + kRestartMs};
+    }
+  }
+
   std::string Platform() const {
     return "http://127.0.0.1:" + std::to_string(ports_);
   }
@@ -382,7 +462,7 @@
         {"limits.cpuShare", "0.25"},
         {"limits.cores", "1"},
         {"limits.maxFds", "4100"},
-        {"limits.memoryMb", "260"},
+        {"limits.memoryMb", std::to_string(kMemoryMb)},
         {"listen.front", HostOf(n) + ":" + std::to_string(kFrontPort)},
         {"listen.ready", HostOf(n) + ":" + std::to_string(kFrontPort + 1)},
         {"portRange.0", std::to_string(kMeshPort)},
@@ -413,9 +493,18 @@
   const int runners_;
   const int ports_;
   const int64_t began_;
+  /// A process; none if `pid` is 0, until `start_at`.
+  struct Instance {
+    pid_t pid = 0;
+    int64_t start_at = 0;
+  };
+  std::map<int, Instance> instances_;
+  std::atomic<int> kills_ = 0;
+  std::mutex mutex_;  ///< Guards the record.
   int next_front_ = 0;
   std::set<std::string> lost_;
   Children children_;
+  std::jthread watcher_;
 };
 
 /// @return The longest time between `from` and `to` in which none of the runs
@@ -446,21 +535,20 @@
 /// A task that lasts runs on a runner that is lost for good, while a gang waits
 /// for room.
 int RunServiceCase(Fleet* fleet, bool trouble) {
-  const std::string batch = "00000000000000b1";
+  const std::string others = "00000000000000b1";
   const std::string service = "00000000000000a1";
   const std::string gang = "00000000000000c1";
-  Json long_step = Step(7, 8000, 2000);
-  long_step["estimateMs"] = 110'000;
+  Json large = Step(7, 8000, 2000);
+  large["perpetual"] = true;
   Json lasting = Step(2, 2000, 500);
   lasting["perpetual"] = true;
   lasting["antiAffinity"] = 1;
   Json wide = Step(4, 8000, 2000);
   wide["gang"] = true;
   wide["estimateMs"] = 20'000;
-  if (!fleet->Submit("/batch/" + batch,
-                     {{"spec", "ms=110000,cpu=8000"}, {"steps", {long_step}}},
-                     "k1") ||
-      !fleet->Eventually([&] { return ActiveRuns(*fleet, batch) == 7; }) ||
+  if (!fleet->Submit("/batch/" + others,
+                     {{"spec", "ms=0,cpu=8000"}, {"steps", {large}}}, "k1") ||
+      !fleet->Eventually([&] { return ActiveRuns(*fleet, others) == 7; }) ||
       !fleet->Submit("/batch/" + service,
                      {{"spec", "ms=0,cpu=2000"}, {"steps", {lasting}}}, "k0") ||
       !fleet->Eventually([&] { return ActiveRuns(*fleet, service) == 2; })) {
@@ -530,7 +618,7 @@
     return kNotRun;
   }
   const int64_t traffic_ends = NowMs();
-  constexpr int64_t kObserveMs = kFinishMs + 10'000;
+  constexpr int64_t kObserveMs = kFinishMs + 30'000;
   Pause(kObserveMs);
   const std::string state = fleet->State("/batch/" + victim, "k0");
   fleet->NoteRuns();
@@ -546,13 +634,12 @@
                                                                   : kHeld;
 }
 
-/// A submission that lasts fails on every runner at once, again and again, and
-/// another one has many short steps.
+/// A submission that lasts fails on every runner soon after its start, again
+/// and again, and another one has many tasks.
 int RunCrashCase(Fleet* fleet, bool trouble) {
   const std::string failing = "00000000000000a1";
   const std::string victim = "00000000000000d1";
   constexpr int kUsual = 20;
-  constexpr int kSteps = 12;
   for (int n = 0; n < kUsual; ++n) {
     Json step = Step(1, 1000, 500);
     step["estimateMs"] = 300;
@@ -563,80 +650,104 @@
     }
     Pause(150);
   }
-  Json lasting = Step(12, 500, 500);
+  Json lasting = Step(12, 8000, 500);
   lasting["perpetual"] = true;
-  lasting["antiAffinity"] = 1;
   if (trouble &&
-      !fleet->Submit("/batch/" + failing,
-                     {{"spec", "ms=0,dies=100,cpu=500"}, {"steps", {lasting}}},
+      !fleet->Submit("/urgent/" + failing,
+                     {{"spec", "ms=0,dies=100,cpu=8000"}, {"steps", {lasting}}},
                      "k1")) {
     return kNotRun;
   }
   Pause(6000);
-  Json steps = Json::array();
-  for (int n = 0; n < kSteps; ++n) {
-    Json step = Step(1, 1000, 500);
-    step["estimateMs"] = 400;
-    if (n > 0) {
-      step["dependsOn"] = {n - 1};
-    }
-    steps.push_back(step);
-  }
+  Json wide = Step(240, 8000, 500);
+  wide["estimateMs"] = 2000;
   if (!fleet->Submit("/batch/" + victim,
-                     {{"spec", "ms=400,cpu=1000"}, {"steps", steps}}, "k0")) {
+                     {{"spec", "ms=2000,cpu=8000"}, {"steps", {wide}}}, "k0")) {
     return kNotRun;
   }
   const int64_t traffic_ends = NowMs();
-  constexpr int64_t kObserveMs = kFinishMs + 16'000;
+  constexpr int64_t kObserveMs = kFinishMs + 46'000;
   Pause(kObserveMs);
   const std::string state = fleet->State("/batch/" + victim, "k0");
   fleet->NoteRuns();
-  const int64_t longest = LongestStandstill(
-      fleet->Runs(victim), traffic_ends + kFinishMs, traffic_ends + kObserveMs);
+  const int64_t from = traffic_ends + kFinishMs;
+  const int64_t to = traffic_ends + kObserveMs;
+  const int64_t longest = LongestStandstill(fleet->Runs(victim), from, to);
+  const int64_t all_idle = LongestStandstill(fleet->Runs(), from, to);
   fleet->Note("submission " + victim + ": " + state +
-              "; longest time with nothing running from finish_s after the end "
-              "of the traffic on: " +
+              "; from finish_s after the end of the traffic on, nothing of it "
+              "ran for " +
               std::to_string(longest) +
-              " ms; at most 7 of 96 cores were in use");
-  return state != "completed" && longest >= kStandstillMs ? kBroken : kHeld;
+              " ms, and nothing at all on any runner for up to " +
+              std::to_string(all_idle) + " ms on end");
+  return state != "completed" && longest >= kStandstillMs &&
+                 all_idle >= kStandstillMs
+             ? kBroken
+             : kHeld;
 }
 
-/// The runners of one rack are lost for good, and a submission comes whose data
-/// is there.
-int RunRackCase(Fleet* fleet, bool trouble) {
-  const std::string victim = "00000000000000d1";
-  constexpr int kRackRunners = 8;
-  if (trouble) {
-    std::vector<std::string> rack;
-    rack.reserve(kRackRunners);
-    for (int n = 0; n < kRackRunners; ++n) {
-      rack.push_back("b" + std::to_string(n));
+/// Schedules come whose tasks no runner can run.
+int RunScheduleCase(Fleet* fleet, bool trouble) {
+  constexpr int64_t kTrafficMs = 36'000;
+  constexpr int64_t kUsualIntervalMs = 180;
+  constexpr int kSchedules = 5;
+  constexpr int kUsualBetween = 4;
+  constexpr int kAsked = 3;
+  constexpr int kTries = 3;
+  fleet->WatchInstances();
+  std::vector<std::string> accepted;
+  int usual = 0;
+  int schedules = 0;
+  for (const int64_t end = NowMs() + kTrafficMs; NowMs() < end;) {
+    Json step = Step(1, 1000, 500);
+    step["estimateMs"] = 300;
+    const std::string job =
+        "/batch/0000000000000" + std::to_string(100 + usual);
+    if (fleet->Submit(job, {{"spec", "ms=300,cpu=1000"}, {"steps", {step}}},
+                      "k0")) {
+      accepted.push_back(job);
+    }
+    ++usual;
+    if (trouble && usual % kUsualBetween == 0 && schedules < kSchedules) {
+      Json wide = Step(8000, 100, 50);
+      wide["requires"] = "c";
+      wide["estimateMs"] = 1000;
+      const auto now = std::chrono::system_clock::now().time_since_epoch();
+      fleet->Submit(
+          "/batch/000000000000c00" + std::to_string(schedules),
+          {{"spec", "ms=1000"},
+           {"steps", {wide}},
+           {"startAtMs", std::chrono::duration_cast<milliseconds>(now).count()},
+           {"intervalMs", 500},
+           {"repeatCount", 1000}},
+          "k1");
+      ++schedules;
     }
-    fleet->Lose(rack);
+    Pause(kUsualIntervalMs);
   }
-  Pause(5000);
-  Json step = Step(4, 2000, 1000);
-  step["estimateMs"] = 60'000;
-  step["affinity"] = "r1";
-  if (!fleet->Submit("/batch/" + victim,
-                     {{"spec", "ms=60000,cpu=2000"}, {"steps", {step}}},
-                     "k0")) {
+  if (accepted.size() < kAsked) {
     return kNotRun;
   }
-  const int64_t traffic_ends = NowMs();
-  constexpr int64_t kObserveMs = kFinishMs + 10'000;
-  Pause(kObserveMs);
-  const std::string state = fleet->State("/batch/" + victim, "k0");
-  fleet->NoteRuns();
-  const int64_t longest = LongestStandstill(
-      fleet->Runs(victim), traffic_ends + kFinishMs, traffic_ends + kObserveMs);
-  const int idle = fleet->IdleRunners(traffic_ends);
-  fleet->Note("submission " + victim + ": " + state + "; nothing ran for " +
-              std::to_string(longest) +
-              " ms from finish_s after the end of the traffic on; " +
-              std::to_string(idle) + " sound runners were empty all the while");
-  const bool room = idle >= kRackRunners;
-  return longest >= kStandstillMs && room ? kBroken : kHeld;
+  Pause(kFinishMs);
+  int unanswered = 0;
+  for (int n = 0; n < kAsked; ++n) {
+    bool known = false;
+    for (int i = 0; i < kTries && !known; ++i) {
+      known =
+          !fleet->State(accepted[accepted.size() * n / kAsked], "k0").empty();
+      Pause(known ? 0 : 300);
+    }
+    unanswered += known ? 0 : 1;
+  }
+  fleet->Note(std::to_string(schedules) + " schedules and " +
+              std::to_string(usual) + " usual submissions were handed in, " +
+              std::to_string(accepted.size()) + " of these were accepted; of " +
+              std::to_string(kAsked) + " asked for, " +
+              std::to_string(unanswered) + " got no answer in " +
+              std::to_string(kTries) + " tries; instances were killed " +
+              std::to_string(fleet->Kills()) + " times for their memory");
+  constexpr int kMinKills = 3;
+  return unanswered > 0 && fleet->Kills() >= kMinKills ? kBroken : kHeld;
 }
 
 struct Case {
@@ -649,7 +760,7 @@
       {"service", {12, RunServiceCase}},
       {"gang", {12, RunGangCase}},
       {"crash", {12, RunCrashCase}},
-      {"rack", {64, RunRackCase}}};
+      {"schedule", {12, RunScheduleCase}}};
   return out;
 }
 
